--- a/shaleplank/__init__.py
+++ b/rowanmast/__init__.py
@@ -1,5 +1,5 @@
 """Routing and admission decisions for the call agents of a private voice network."""
 
-from shaleplank.decide import CallAgent
+from rowanmast.control import CallAgent
 
 __all__ = ["CallAgent"]
--- a/shaleplank/decide.py
+++ b/rowanmast/control.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from shaleplank.interface import (
+from rowanmast.interface import (
     Action,
     AskList,
     Call,
--- a/shaleplank/wirehost.py
+++ b/rowanmast/wirehost.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from shaleplank import interface as api
-from shaleplank.decide import CallAgent
+from rowanmast import interface as api
+from rowanmast.control import CallAgent
 
 Fields = dict[str, Any]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from shaleplank.decide import CallAgent
-from shaleplank.interface import (
+from rowanmast.control import CallAgent
+from rowanmast.interface import (
     Action,
     Call,
     CallClass,
--- a/tests/test_decide.py
+++ b/tests/test_control.py
@@ -8,8 +8,8 @@
 import pytest
 from conftest import MS, SECOND, SETTINGS, START, Desk, call, ended, entry, listed, sent_to
 
-from shaleplank.decide import Gate, Held
-from shaleplank.interface import (
+from rowanmast.control import Gate, Held
+from rowanmast.interface import (
     AskList,
     Cause,
     GiveUp,
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -7,7 +7,7 @@
 
 from conftest import SETTINGS, START, entry, listed
 
-from shaleplank.interface import Action, ListKind
+from rowanmast.interface import Action, ListKind
 
 
 def test_the_example_runs() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from shaleplank.decide import CallAgent
-from shaleplank.interface import (
+from rowanmast.control import CallAgent
+from rowanmast.interface import (
     Action,
     Cause,
     Event,
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -57,7 +57,7 @@
 
 
 def run(*lines: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "shaleplank.wirehost"]
+    command = [sys.executable, "-m", "rowanmast.wirehost"]
     return subprocess.run(
         command,
         input="".join(line + "\n" for line in lines),
@@ -119,11 +119,11 @@
 
 def test_exception_in_an_agent_gives_in_for_that_instance_only() -> None:
     code = (
-        "import sys\nfrom shaleplank import decide, wirehost\n"
-        "plain = decide.CallAgent.on_call\n"
+        "import sys\nfrom rowanmast import control, wirehost\n"
+        "plain = control.CallAgent.on_call\n"
         "def fail(self, call):\n    if call.call == 'rq_1':\n        raise ValueError('odd')\n"
         "    plain(self, call)\n"
-        "decide.CallAgent.on_call = fail\n"
+        "control.CallAgent.on_call = fail\n"
         "sys.exit(wirehost.serve(sys.stdin, sys.stdout, sys.stderr))\n"
     )
     lines = batch(
@@ -144,6 +144,6 @@
 
 
 def test_module_stays_small() -> None:
-    lines = (ROOT / "shaleplank" / "decide.py").read_text().splitlines()
+    lines = (ROOT / "rowanmast" / "control.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 650
     assert max(map(len, lines)) <= 110
