--- /dev/null
+++ b/rowanmast/core/ledger.py
@@ -0,0 +1,389 @@
+"""The call ledger: owes every call one final answer, and lets only one attempt of a call out at once.
+
+Each turn it takes the inputs gathered, tells the decision module in one go, and carries out what comes
+back. The rules are guarded here, whatever the module says and whatever wire a call uses.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from rowanmast import interface as api
+from rowanmast.control import CallAgent
+from rowanmast.core.ports import (
+    NO_REPORT,
+    NORMAL_CLEARING,
+    TEMPORARY_FAILURE,
+    Answered,
+    Attempt,
+    AttemptOver,
+    CallOver,
+    Cancelled,
+    Failure,
+    Input,
+    Links,
+    Offer,
+    Released,
+    SwitchDown,
+)
+
+NS = 1000  # nanoseconds in a microsecond: the module counts in them
+UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Record:
+    """One call, from its offer until it is answered and, if it stood, over."""
+
+    offer: Offer
+    deadline: int
+    out: Attempt | None = None
+    sends: int = 0
+    not_before: int = 0  # the release of the last attempt must be awaited
+    answered: bool = False
+    stands: Attempt | None = None
+
+
+Due = Attempt | api.TimerDue | Record
+
+
+class Ledger:
+    def __init__(
+        self, settings: api.Settings, classes: Mapping[str, int], agent: CallAgent, links: Links
+    ) -> None:
+        self.settings = settings
+        self.classes = classes
+        self.agent = agent
+        self.links = links
+        self.records: dict[str, Record] = {}
+        self.listed: dict[str, api.ListEntry] = {}
+        self.dues: list[tuple[int, int, Due]] = []
+        self.serial = 0
+        self.events: list[api.Event] = []  # for the module
+        self.over: list[str] = []  # calls to be forgotten when the turn ends
+        self.now = 0
+
+    # The turn
+
+    def turn(self, now: int, inputs: Iterable[Input]) -> None:
+        self.now = now
+        for item in inputs:
+            self.take(item)
+        self.expire()
+        while self.events:
+            batch, self.events = self.events, []
+            for action in self.decide(batch):
+                self.carry_out(action)
+        for call in self.over:
+            self.records.pop(call, None)
+        self.over.clear()
+
+    def next_due(self) -> int | None:
+        return self.dues[0][0] if self.dues else None
+
+    def owed(self) -> int:
+        """How many calls still wait for their final answer."""
+        return sum(not record.answered for record in self.records.values())
+
+    def may_leave(self, attempt: Attempt) -> bool:
+        """Asked again when the bytes leave: it may have been called off, or the switch drains by now."""
+        record = self.records.get(attempt.call)
+        return record is not None and record.out is attempt and self.is_up(attempt.exchange)
+
+    def release_all(self) -> None:
+        """Ends every call that stands, on both sides."""
+        for record in list(self.records.values()):
+            if record.stands is not None:
+                self.links[record.stands.exchange].release(record.offer.call, TEMPORARY_FAILURE)
+                self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
+
+    def take(self, item: Input) -> None:
+        match item:
+            case Offer():
+                self.on_offer(item)
+            case Cancelled():
+                self.on_cancelled(item.call)
+            case Released():
+                self.on_released(item)
+            case Answered():
+                self.on_answered(item)
+            case AttemptOver():
+                record = self.records.get(item.call)
+                out = record.out if record else None
+                if record and out and (out.exchange, out.number) == (item.exchange, item.attempt):
+                    self.end_attempt(record, item.outcome, item.cause, item.report)
+            case CallOver():
+                self.on_call_over(item)
+            case SwitchDown():
+                self.cut_all(item.exchange)
+            case api.ExchangeList():
+                self.on_list(item)
+            case api.Reported():
+                self.events.append(item)
+
+    def expire(self) -> None:
+        while self.dues and self.dues[0][0] <= self.now:
+            _, _, due = heapq.heappop(self.dues)
+            if isinstance(due, api.TimerDue):
+                self.events.append(due)
+                continue
+            record = self.records.get(due.offer.call if isinstance(due, Record) else due.call)
+            if isinstance(due, Attempt) and record is not None and record.out is due:
+                self.call_off(record, api.Outcome.TIMED_OUT)
+            elif isinstance(due, Record) and record is due and not record.answered:
+                # The module ends its calls itself; this is the net under it.
+                log.error("late_answer", extra={"call": due.offer.call})
+                self.events.append(api.HungUp(due.offer.call))
+                self.finish(record, Failure.GIVEN_UP)
+
+    def at(self, due: int, item: Due) -> None:
+        self.serial += 1
+        heapq.heappush(self.dues, (due, self.serial, item))
+
+    # What fronts say
+
+    def on_offer(self, offer: Offer) -> None:
+        if offer.call in self.records:
+            log.warning("duplicate_call", extra={"call": offer.call})
+            return
+        record = self.records[offer.call] = Record(offer, self.now + offer.left_us)
+        self.at(record.deadline, record)
+        self.events.append(
+            api.Call(
+                call=offer.call,
+                klass=self.classes.get(offer.klass, -1),
+                key=offer.key,
+                tenant=None,
+                remaining_ns=offer.left_us * NS,
+                dest=offer.dest,
+                width=offer.width,
+                advised=offer.via,
+                redialled=offer.redialled,
+                transit=offer.transit,
+                again=offer.again,
+            )
+        )
+
+    def on_cancelled(self, call: str) -> None:
+        record = self.records.get(call)
+        if record is None:
+            return
+        if record.stands is not None:  # our answer crossed it, so the caller is told that the call is over
+            self.links[record.stands.exchange].release(call, NORMAL_CLEARING)
+            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, NORMAL_CLEARING)
+        elif not record.answered:
+            self.events.append(api.HungUp(call))
+            self.finish(record, Failure.CANCELLED)
+
+    def on_released(self, item: Released) -> None:
+        record = self.records.get(item.call)
+        if record is not None and record.stands is not None:
+            self.links[record.stands.exchange].release(item.call, item.cause)
+            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, None)
+
+    # What switches say
+
+    def on_answered(self, item: Answered) -> None:
+        record = self.records.get(item.call)
+        out = record.out if record else None
+        if record is None or out is None or (out.exchange, out.number) != (item.exchange, item.attempt):
+            standing = record.stands if record else None
+            if standing is None or standing.exchange != item.exchange:  # it crossed our giving up
+                self.links[item.exchange].release(item.call, NORMAL_CLEARING)
+            return
+        if self.now >= record.deadline:
+            self.call_off(record, api.Outcome.TIMED_OUT)
+            return
+        record.out, record.stands = None, out
+        delay = (self.now - out.sent) * NS
+        self.events.append(api.Stands(item.call, out.number, out.exchange, delay))
+        self.give_answer(record, item.text)
+
+    def on_call_over(self, item: CallOver) -> None:
+        record = self.records.get(item.call)
+        if record is not None and record.stands is not None and record.stands.exchange == item.exchange:
+            cause = NORMAL_CLEARING if item.outcome is api.Outcome.DONE else TEMPORARY_FAILURE
+            self.end_call(record, item.outcome, item.report, cause)
+
+    def on_list(self, item: api.ExchangeList) -> None:
+        self.events.append(item)
+        before = self.listed
+        self.listed = dict(before) if item.kind is api.ListKind.CHANGES else {}
+        self.listed.update((entry.exchange, entry) for entry in item.entries)
+        for exchange in before:
+            entry = self.listed.get(exchange)
+            if entry is None or entry.state is api.State.GONE:
+                self.cut_all(exchange)
+
+    def cut_all(self, exchange: str) -> None:
+        """A switch is gone, and what stood or was being set up there with it."""
+        for record in list(self.records.values()):
+            if record.stands is not None and record.stands.exchange == exchange:
+                self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
+            elif record.out is not None and record.out.exchange == exchange:
+                self.call_off(record, api.Outcome.CUT)
+
+    def is_up(self, exchange: str) -> bool:
+        entry = self.listed.get(exchange)
+        return entry is not None and entry.state is api.State.UP
+
+    # The places where an attempt ends, a final answer is given, and a call that stood is over
+
+    def call_off(self, record: Record, outcome: api.Outcome) -> None:
+        """Ends the attempt from our side: the switch is told, and then the module."""
+        assert record.out is not None
+        self.links[record.out.exchange].call_off(record.offer.call)
+        self.end_attempt(record, outcome, None, NO_REPORT)
+
+    def end_attempt(
+        self, record: Record, outcome: api.Outcome, cause: api.Cause | None, report: api.Report
+    ) -> None:
+        out, record.out = record.out, None
+        assert out is not None
+        if outcome in UNPROVEN:
+            record.not_before = self.now + self.settings.release_ns // NS
+        self.ended(out, outcome, cause, report, record.answered)
+
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        cause: api.Cause | None,
+        report: api.Report,
+        final: bool,
+    ) -> None:
+        self.events.append(
+            api.Ended(
+                call=attempt.call,
+                attempt=attempt.number,
+                exchange=attempt.exchange,
+                outcome=outcome,
+                cause=cause,
+                wait_ns=None,
+                final=final,
+                delay_ns=(self.now - attempt.sent) * NS,
+                report=report,
+            )
+        )
+
+    def give_answer(self, record: Record, answer: str | int | Failure) -> None:
+        """The one final answer: a description, a time to stay away, or why the call failed."""
+        if record.answered:
+            return
+        record.answered = True
+        call, front = record.offer.call, record.offer.front
+        match answer:
+            case str():
+                front.answer(call, answer)
+                return
+            case int():
+                front.refuse(call, answer)
+            case Failure():
+                front.fail(call, answer)
+        self.over.append(call)
+
+    def end_call(
+        self, record: Record, outcome: api.Outcome, report: api.Report, tell_caller: int | None
+    ) -> None:
+        stood, record.stands = record.stands, None
+        assert stood is not None
+        self.over.append(record.offer.call)
+        if tell_caller is not None:
+            record.offer.front.release(record.offer.call, tell_caller)
+        self.ended(stood, outcome, None, report, True)
+
+    # The module
+
+    def decide(self, batch: list[api.Event]) -> list[api.Action]:
+        actions: list[api.Action] = []
+        for event in batch:
+            try:
+                actions += self.agent.handle(self.now * NS, event)
+            except Exception:
+                log.exception("module_fault", extra={"event": type(event).__name__})
+                record = self.records.get(getattr(event, "call", ""))
+                if record is not None and not record.answered:
+                    self.finish(record, Failure.FAULT)
+        return actions
+
+    def carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.SetUp():
+                self.set_up(action)
+            case api.TurnAway():
+                if action.call in self.records:
+                    self.finish(self.records[action.call], action.stay_away_ns // NS)
+            case api.GiveUp():
+                if action.call in self.records:
+                    self.finish(self.records[action.call], Failure.GIVEN_UP)
+            case api.CallOff():
+                record = self.records.get(action.call)
+                if record is not None and record.out is not None and record.out.number == action.attempt:
+                    self.call_off(record, api.Outcome.CALLED_OFF)
+            case api.SetTimer():
+                self.at(self.now + action.in_ns // NS, api.TimerDue(action.token))
+            case api.Probe():
+                if self.is_up(action.exchange):
+                    self.links[action.exchange].probe()
+            case api.Note():
+                log.info("module_note", extra={"text": action.text})
+            case api.Subscribe() | api.AskList():
+                pass  # the change log is followed unasked
+
+    def finish(self, record: Record, answer: int | Failure) -> None:
+        """Answers a call that does not stand, and takes back what is still out for it."""
+        self.give_answer(record, answer)
+        if record.out is not None:
+            self.call_off(record, api.Outcome.CALLED_OFF)
+
+    def set_up(self, action: api.SetUp) -> None:
+        record = self.records.get(action.call)
+        if record is None:
+            return
+        offer = record.offer
+        due = min(self.now + max(action.timeout_ns // NS, 0), record.deadline)
+        attempt = Attempt(
+            offer.call, record.sends, action.exchange, offer.klass, offer.key, offer.text, self.now, due
+        )
+        record.sends += 1
+        broken = self.forbidden(record, attempt)
+        if broken is not None:
+            if not record.answered:  # after a hang-up in the same turn it is no fault
+                log.warning("set_up_held_back", extra={"call": offer.call, "why": broken})
+            self.ended(attempt, api.Outcome.NOT_SENT, None, NO_REPORT, record.answered)
+            return
+        record.out = attempt
+        self.at(due, attempt)
+        self.links[action.exchange].set_up(attempt)
+
+    def forbidden(self, record: Record, attempt: Attempt) -> str | None:
+        """The rule that this set-up would break."""
+        if record.answered:
+            return "answered"
+        if record.out is not None:
+            return "attempt_out"
+        if self.now < record.not_before:
+            return "release_awaited"
+        if attempt.number >= self.settings.max_attempts:
+            return "attempts_used"
+        if not self.is_up(attempt.exchange) or attempt.exchange not in self.links:
+            return "not_up"
+        number = self.listed[attempt.exchange].number
+        if number == self.settings.own_exchange:
+            return "own_exchange"
+        if record.offer.transit and number != record.offer.dest:
+            return "transit_elsewhere"
+        return None
+
+
+def with_margin(settings: api.Settings, margin_us: int) -> api.Settings:
+    """The settings for the module of a real router: it awaits a release a little longer than the rule says.
+
+    The module counts from the start of the turn, the rule from when the last byte left.
+    """
+    return replace(settings, release_ns=settings.release_ns + margin_us * NS)
--- /dev/null
+++ b/rowanmast/core/ports.py
@@ -0,0 +1,154 @@
+"""What the ledger exchanges with fronts and switch links, in words of no wire. Times are microseconds."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from rowanmast import interface as api
+
+NORMAL_CLEARING = 16  # Q.850 causes of a release
+TEMPORARY_FAILURE = 41
+NO_REPORT = api.Report()
+
+
+class Failure(Enum):
+    """Why a call failed rather than being turned away."""
+
+    GIVEN_UP = "given up"
+    CANCELLED = "cancelled"  # the caller took the set-up back
+    FAULT = "fault"  # an exception of our own in this call
+
+
+class Front(Protocol):
+    """Where calls come from."""
+
+    def answer(self, call: str, text: str) -> None: ...
+
+    def refuse(self, call: str, stay_away_us: int) -> None: ...
+
+    def fail(self, call: str, why: Failure) -> None: ...
+
+    def release(self, call: str, cause: int) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """A set-up on its way to one switch."""
+
+    call: str
+    number: int
+    exchange: str
+    klass: str
+    key: str
+    text: str
+    sent: int
+    due: int
+
+
+class SwitchLink(Protocol):
+    """The way to one switch. `call_off` takes back a set-up, `release` ends a call that stands."""
+
+    def set_up(self, attempt: Attempt) -> None: ...
+
+    def call_off(self, call: str) -> None: ...
+
+    def release(self, call: str, cause: int) -> None: ...
+
+    def probe(self) -> None: ...
+
+
+Links = Mapping[str, SwitchLink]
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A set-up that a front has taken and that now is owed a final answer."""
+
+    front: Front
+    call: str
+    klass: str
+    key: str
+    text: str
+    left_us: int
+    dest: int
+    width: int | None
+    via: int | None
+    redialled: bool
+    transit: bool
+    again: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The caller took its set-up back, or the connection that owned it is lost."""
+
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The caller ended a call that stood."""
+
+    call: str
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A switch says that the call stands; -1 for an attempt that its link no longer knows."""
+
+    exchange: str
+    call: str
+    attempt: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptOver:
+    """A set-up ended without an answer."""
+
+    exchange: str
+    call: str
+    attempt: int
+    outcome: api.Outcome
+    cause: api.Cause | None = None
+    report: api.Report = NO_REPORT
+
+
+@dataclass(frozen=True, slots=True)
+class CallOver:
+    """A switch released a call that stood: DONE, or CUT."""
+
+    exchange: str
+    call: str
+    outcome: api.Outcome
+    report: api.Report = NO_REPORT
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchDown:
+    """The switch's process is proven dead: what stood there is cut."""
+
+    exchange: str
+
+
+Input = (
+    Offer
+    | Cancelled
+    | Released
+    | Answered
+    | AttemptOver
+    | CallOver
+    | SwitchDown
+    | api.ExchangeList
+    | api.Reported
+)
+
+
+class Inbox(Protocol):
+    """Takes what callbacks gather, for the next turn."""
+
+    def post(self, item: Input) -> None: ...
--- /dev/null
+++ b/rowanmast/net/callers.py
@@ -0,0 +1,187 @@
+"""The platform's front: callers that speak SIP over TCP. Adapts them to the core's port `Front`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from typing import cast
+
+from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
+from rowanmast.net import sip
+
+MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
+FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
+
+log = logging.getLogger(__name__)
+
+
+class Callers:
+    """All callers' connections, the set-ups open on them and the releases that they still have to hear."""
+
+    def __init__(self, inbox: Inbox, most: int) -> None:
+        self.inbox = inbox
+        self.most = most  # connections, so that descriptors are left for the switches
+        self.connections: dict[Connection, None] = {}
+        self.open: dict[str, tuple[Connection, sip.Message]] = {}
+        self.byes: dict[str, tuple[Connection | None, int]] = {}  # not heard yet: where last sent, cause
+        self.closing = False
+
+    # The port
+
+    def answer(self, call: str, text: str) -> None:
+        self.respond(call, 200, (("Contact", f"<sip:{call}@net>"),), text.encode("utf-8", "surrogatepass"))
+
+    def refuse(self, call: str, stay_away_us: int) -> None:
+        wait = max(math.ceil(stay_away_us / 1_000_000), 1)  # RFC 3261 counts in whole seconds
+        self.respond(call, 503, (("Retry-After", str(wait)),))
+
+    def fail(self, call: str, why: Failure) -> None:
+        self.respond(call, FAILURES[why])
+
+    def release(self, call: str, cause: int) -> None:
+        """Any connection will do, since a call that stands belongs to none."""
+        connection = next(iter(self.connections), None)
+        self.byes[call] = (connection, cause)
+        if connection is not None:
+            connection.write(sip.bye(call, cause))
+
+    def respond(
+        self, call: str, status: int, headers: tuple[tuple[str, str], ...] = (), body: bytes = b""
+    ) -> None:
+        connection, invite = self.open.pop(call, (None, None))
+        if connection is not None and invite is not None:
+            connection.set_ups.discard(call)
+            connection.write(sip.respond(invite, status, headers, body))
+
+    # Connections
+
+    def connected(self, connection: Connection) -> None:
+        if len(self.connections) >= self.most:
+            idle = next((other for other in self.connections if not other.set_ups), connection)
+            log.warning("caller_limit", extra={"connections": len(self.connections)})
+            self.connections.pop(idle, None)
+            idle.close()
+            if idle is connection:
+                return
+        self.connections[connection] = None
+        for call, (sent_on, cause) in list(self.byes.items()):
+            if sent_on is None:
+                self.byes[call] = (connection, cause)
+                connection.write(sip.bye(call, cause))
+
+    def lost(self, connection: Connection) -> None:
+        """Gives up the set-ups open on it, and sends anew the releases that it may not have delivered."""
+        self.connections.pop(connection, None)
+        for call in connection.set_ups:
+            del self.open[call]
+            self.inbox.post(Cancelled(call))
+        connection.set_ups.clear()
+        for call, (sent_on, cause) in list(self.byes.items()):
+            if sent_on is connection:
+                self.release(call, cause)
+
+    def received(self, connection: Connection, message: sip.Message) -> None:
+        if message.status:
+            if message.cseq_method == "BYE":
+                self.byes.pop(message.call_id, None)
+            return
+        match message.method:
+            case "INVITE":
+                self.invited(connection, message)
+            case "CANCEL":
+                connection.write(sip.respond(message, 200))
+                self.inbox.post(Cancelled(message.call_id))
+            case "BYE":
+                connection.write(sip.respond(message, 200))
+                self.byes.pop(message.call_id, None)
+                self.inbox.post(Released(message.call_id, reason(message)))
+            case "OPTIONS":
+                connection.write(sip.respond(message, 503 if self.closing else 200))
+            case "ACK":
+                pass
+            case _:
+                connection.write(sip.respond(message, 501))
+
+    def invited(self, connection: Connection, message: sip.Message) -> None:
+        call = message.call_id
+        if call in self.open:
+            log.warning("duplicate_invite", extra={"call": call})
+            return
+        try:
+            offer = self.read_offer(message)
+        except ValueError as error:
+            log.warning("bad_invite", extra={"call": call, "why": error})
+            connection.write(sip.respond(message, 400))
+            return
+        self.open[call] = (connection, message)
+        connection.set_ups.add(call)
+        self.inbox.post(offer)
+
+    def read_offer(self, message: sip.Message) -> Offer:
+        route = dict(part.strip().split(":", 1) for part in message.get("x-route").split(";") if part.strip())
+        left_ms = float(message.get("x-setup-ms"))
+        if not message.call_id or not math.isfinite(left_ms) or "dest" not in route:
+            raise ValueError("no id, time to wait or destination")
+        return Offer(
+            front=self,
+            call=message.call_id,
+            klass=message.get("x-service"),
+            key=message.user,
+            text=message.body.decode(),
+            left_us=max(int(left_ms * 1000), 0),
+            dest=int(route["dest"]),
+            width=int(route["width"]) if "width" in route else None,
+            via=None if int(route.get("via", -1)) < 0 else int(route["via"]),
+            redialled=message.get("x-redial") == "1",
+            transit=route.get("transit") == "1",
+            again=route.get("again") == "1",
+        )
+
+
+def reason(message: sip.Message) -> int:
+    """The Q.850 cause of a BYE; a release without one is normal clearing."""
+    cause = message.get("reason").partition("cause=")[2].split(";")[0].strip()
+    return int(cause) if cause.isascii() and cause.isdigit() else 16
+
+
+class Connection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+        self.parser = sip.Parser()
+        self.set_ups: set[str] = set()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.transport.set_write_buffer_limits(high=MAX_UNREAD)
+        self.callers.connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            messages = self.parser.feed(data)
+        except sip.SipError as error:
+            log.warning("bad_sip", extra={"why": error})
+            self.close()
+            return
+        for message in messages:
+            self.callers.received(self, message)
+
+    def pause_writing(self) -> None:
+        """A caller that does not read: its connection is given up before it costs more memory."""
+        log.warning("slow_caller")
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.callers.lost(self)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/rowanmast/net/changelog.py
@@ -0,0 +1,172 @@
+"""Follows the change log over HTTP and tells what it says of the switches."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import Any, cast
+
+import httptools
+import ujson
+
+from rowanmast import interface as api
+
+WAIT_MS = 5000  # longest that the change log holds a question open
+SILENT_S = 2.0  # beyond that it is taken for dead
+RETRY_S, RETRY_MAX_S = 0.1, 2.0
+MAX_ANSWER = 1024 * 1024
+STATES = {"ready": api.State.UP, "draining": api.State.DRAINING, "gone": api.State.GONE}
+
+log = logging.getLogger(__name__)
+
+
+class ListError(ValueError):
+    """The change log's text is not in its form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One event of the change log: the list's entries, and where each switch is reached."""
+
+    seq: int
+    listed: api.ExchangeList
+    addresses: dict[str, tuple[str, int]]
+
+
+def read_address(text: object) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit():
+        raise ListError(f"{text!r} is no address")
+    return host, int(port)
+
+
+class Reader:
+    """Reads lists; knows how Unix times map to the monotonic clock, as it was when the router started."""
+
+    def __init__(self) -> None:
+        self.offset_ns = time.monotonic_ns() - time.time_ns()
+
+    def read(self, document: Any) -> list[Change]:
+        try:
+            return [self.read_change(result) for result in document["results"]]
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ListError(f"malformed list: {error!r}") from None
+
+    def read_change(self, result: Any) -> Change:
+        fleet = result.get("fleet") or {"hosts": []}
+        kind = api.ListKind.FULL if fleet.get("whole") else api.ListKind.CHANGES
+        entries = tuple(self.read_entry(host) for host in fleet["hosts"])
+        addresses = {host["host"]: read_address(host["dial"]) for host in fleet["hosts"] if host.get("dial")}
+        return Change(int(result["seq"]), api.ExchangeList(kind, entries), addresses)
+
+    def read_entry(self, host: Any) -> api.ListEntry:
+        if host["health"] not in STATES:
+            raise ListError(f"{host['health']!r} is no state")
+        born = int(host.get("born_ms") or 0)
+        return api.ListEntry(
+            exchange=str(host["host"]),
+            number=int(host["block"]),
+            zone=host.get("site"),
+            state=STATES[host["health"]],
+            started_ns=born * 1_000_000 + self.offset_ns if born else None,
+        )
+
+
+class ChangeLog:
+    """Asks for changes, one long question after the other, and connects anew when that breaks."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        reader: Reader,
+        seq: int,
+        tell: Callable[[Change], None],
+        random: Random,
+    ) -> None:
+        self.address = address
+        self.reader = reader
+        self.seq = seq
+        self.tell = tell
+        self.random = random
+        self.pause = RETRY_S
+
+    async def follow(self) -> None:
+        while True:
+            lost = asyncio.get_running_loop().create_future()
+            try:
+                async with asyncio.timeout(SILENT_S):
+                    make = partial(Question, self, lost)
+                    await asyncio.get_running_loop().create_connection(make, *self.address)
+                await lost
+            except OSError as error:
+                log.warning("change_log_unreached", extra={"why": type(error).__name__})
+            await asyncio.sleep(self.pause * self.random.uniform(0.5, 1.5))
+            self.pause = min(self.pause * 2, RETRY_MAX_S)
+
+    def heard(self, body: bytes) -> None:
+        for change in self.reader.read(ujson.loads(body)):
+            if change.seq > self.seq:
+                self.seq = change.seq
+                self.tell(change)
+        self.pause = RETRY_S
+
+
+class Question(asyncio.Protocol):
+    """One connection to the change log."""
+
+    def __init__(self, changes: ChangeLog, lost: asyncio.Future[None]) -> None:
+        self.changes = changes
+        self.lost = lost
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = b""
+        self.transport: asyncio.Transport | None = None
+        self.watch: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.ask()
+
+    def ask(self) -> None:
+        assert self.transport is not None
+        host, port = self.changes.address
+        path = f"/changes?since={self.changes.seq}&timeout={WAIT_MS}"
+        self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+        silent = WAIT_MS / 1000 + SILENT_S
+        self.watch = asyncio.get_running_loop().call_later(silent, self.transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        assert self.transport is not None
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, ValueError) as error:
+            log.warning("bad_change_log", extra={"why": error})
+            self.transport.abort()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > MAX_ANSWER:
+            raise ListError("answer over 1 MiB")
+
+    def on_message_complete(self) -> None:
+        assert self.transport is not None
+        if self.watch is not None:
+            self.watch.cancel()
+        body, self.body = self.body, b""
+        if self.parser.get_status_code() != 200:
+            raise ListError(f"status {self.parser.get_status_code()}")
+        self.changes.heard(body)
+        if self.parser.should_keep_alive():
+            self.ask()
+        else:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+        if not self.lost.done():
+            self.lost.set_result(None)
--- /dev/null
+++ b/rowanmast/net/jsonlines.py
@@ -0,0 +1,94 @@
+"""JSON lines as switches speak them: a codec without sockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import ujson
+
+from rowanmast import interface as api
+from rowanmast.settings import read_report
+
+MAX_MESSAGE = 16 * 1024
+CAUSES = {
+    "all_trunks_busy": api.Cause.NO_CIRCUIT,
+    "via_said_no": api.Cause.TURNED_BACK,
+    "far_cpu_full": api.Cause.FULL_BEYOND,
+    "cpu_full": api.Cause.PROCESSOR_FULL,
+    "number_busy": api.Cause.LINES_BUSY,
+}
+REFUSALS = {  # a release before the answer, by its Q.850 cause
+    34: api.Outcome.FULL,
+    17: api.Outcome.BUSY,
+    47: api.Outcome.BUSY,
+    102: api.Outcome.NOT_SENT,
+}
+PLATFORM_NAMES = {"x0": "spare", "x1": "total", "util": "utilization", "queue": "backlog"}
+
+
+class LineError(ValueError):
+    """The bytes are no line that we take."""
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    msg: str
+    sid: str
+    attrs: dict[str, Any]
+    code: int
+    text: str
+
+    @property
+    def cause(self) -> api.Cause | None:
+        return CAUSES.get(str(self.attrs.get("note")))
+
+    @property
+    def report(self) -> api.Report:
+        return parse_load(str(self.attrs.get("load", "")))
+
+
+class Parser:
+    """Cuts a stream of bytes into lines."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+
+    def feed(self, data: bytes) -> list[Line]:
+        *whole, self.buffer = (self.buffer + data).split(b"\n")
+        if len(self.buffer) > MAX_MESSAGE or any(len(line) > MAX_MESSAGE for line in whole):
+            raise LineError("line over 16 KiB")
+        return [read(line) for line in whole if line.strip()]
+
+
+def read(line: bytes) -> Line:
+    try:
+        fields = ujson.loads(line)
+    except ValueError:
+        raise LineError("not JSON") from None
+    if not isinstance(fields, dict) or not isinstance(fields.get("msg"), str):
+        raise LineError("no message type")
+    sid, attrs = fields.get("sid", ""), fields.get("attrs") or {}
+    code, text = fields.get("code") or 0, fields.get("text") or ""
+    if not (isinstance(sid, str) and isinstance(attrs, dict)):
+        raise LineError("id or fields are malformed")
+    if not (isinstance(code, int) and isinstance(text, str)):
+        raise LineError("cause or description is malformed")
+    return Line(fields["msg"], sid, attrs, code, text)
+
+
+def write(msg: str, sid: str, attrs: dict[str, str], **more: str | int) -> bytes:
+    fields = {"msg": msg, "sid": sid, "attrs": attrs, **more}
+    return ujson.dumps(fields, ensure_ascii=False, escape_forward_slashes=False).encode() + b"\n"
+
+
+def parse_load(load: str) -> api.Report:
+    """A report such as x0:12;x1:40;queue:3, with the platform's names or the settings'."""
+    values: dict[str, float] = {}
+    for item in load.split(";"):
+        name, _, value = item.partition(":")
+        try:
+            values[PLATFORM_NAMES.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return read_report(values)
--- /dev/null
+++ b/rowanmast/net/logs.py
@@ -0,0 +1,37 @@
+"""Log lines of key=value pairs, one line an event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+PLAIN = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+
+
+def quoted(value: object) -> str:
+    text = str(value)
+    if text and not any(char in text for char in ' "=\n\r\\'):
+        return text
+    text = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{text}"'
+
+
+class KeyValueFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        pairs: dict[str, object] = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S") + f".{int(record.msecs):03d}",
+            "level": record.levelname.lower(),
+            "part": record.name.removeprefix("rowanmast."),
+            "event": record.getMessage(),
+        }
+        pairs |= {key: value for key, value in vars(record).items() if key not in PLAIN}
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={quoted(value)}" for key, value in pairs.items())
+
+
+def set_up(name: str) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+    logging.info("start", extra={"router": name})
--- /dev/null
+++ b/rowanmast/net/turn.py
@@ -0,0 +1,43 @@
+"""Gathers what callbacks report and hands it to the ledger, once a turn of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from rowanmast.core.ledger import Ledger
+from rowanmast.core.ports import Input
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Turn:
+    def __init__(self, loop: asyncio.AbstractEventLoop, ledger: Ledger) -> None:
+        self.loop = loop
+        self.ledger = ledger
+        self.items: list[Input] = []
+        self.scheduled = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def post(self, item: Input) -> None:
+        self.items.append(item)
+        self.wake()
+
+    def wake(self) -> None:
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self.flush)
+
+    def flush(self) -> None:
+        self.scheduled = False
+        items, self.items = self.items, []
+        now = now_us()
+        self.ledger.turn(now, items)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = self.ledger.next_due()
+        if due is not None:
+            self.timer = self.loop.call_later(max(due - now, 0) / 1e6, self.wake)
