--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -12,11 +12,10 @@
 from dataclasses import dataclass, replace
 
 from rowanmast import interface as api
+from rowanmast.causes import NORMAL_CLEARING, TEMPORARY_FAILURE
 from rowanmast.control import CallAgent
 from rowanmast.core.ports import (
     NO_REPORT,
-    NORMAL_CLEARING,
-    TEMPORARY_FAILURE,
     Answered,
     Attempt,
     AttemptOver,
@@ -160,12 +159,12 @@
                 key=offer.key,
                 tenant=None,
                 remaining_ns=offer.left_us * NS,
-                dest=offer.dest,
-                width=offer.width,
-                advised=offer.via,
-                redialled=offer.redialled,
-                transit=offer.transit,
-                again=offer.again,
+                dest=offer.route.dest,
+                width=offer.route.width,
+                advised=offer.route.via,
+                redialled=offer.route.redialled,
+                transit=offer.route.transit,
+                again=offer.route.again,
             )
         )
 
@@ -207,7 +206,8 @@
     def on_call_over(self, item: CallOver) -> None:
         record = self.records.get(item.call)
         if record is not None and record.stands is not None and record.stands.exchange == item.exchange:
-            cause = NORMAL_CLEARING if item.outcome is api.Outcome.DONE else TEMPORARY_FAILURE
+            done = item.outcome is api.Outcome.DONE
+            cause = NORMAL_CLEARING if done else TEMPORARY_FAILURE
             self.end_call(record, item.outcome, item.report, cause)
 
     def on_list(self, item: api.ExchangeList) -> None:
@@ -376,7 +376,7 @@
         number = self.listed[attempt.exchange].number
         if number == self.settings.own_exchange:
             return "own_exchange"
-        if record.offer.transit and number != record.offer.dest:
+        if record.offer.route.transit and number != record.offer.route.dest:
             return "transit_elsewhere"
         return None
 
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -9,8 +9,6 @@
 
 from rowanmast import interface as api
 
-NORMAL_CLEARING = 16  # Q.850 causes of a release
-TEMPORARY_FAILURE = 41
 NO_REPORT = api.Report()
 
 
@@ -63,6 +61,24 @@
 Links = Mapping[str, SwitchLink]
 
 
+class Gate(Protocol):
+    """Asked when a set-up's bytes are about to leave: the ledger."""
+
+    def may_leave(self, attempt: Attempt) -> bool: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where a set-up is to go, and what is said of how it came."""
+
+    dest: int
+    width: int | None
+    via: int | None
+    redialled: bool
+    transit: bool
+    again: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Offer:
     """A set-up that a front has taken and that now is owed a final answer."""
@@ -73,12 +89,7 @@
     key: str
     text: str
     left_us: int
-    dest: int
-    width: int | None
-    via: int | None
-    redialled: bool
-    transit: bool
-    again: bool
+    route: Route
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rowanmast/iax2/front.py
@@ -0,0 +1,114 @@
+"""The IAX2 front: callers that speak IAX2. Adapts them to the core's port `Front`."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from random import Random
+
+from rowanmast import causes
+from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
+from rowanmast.iax2.endpoint import Leg
+from rowanmast.iax2.frames import (
+    VERSION,
+    Control,
+    Frame,
+    FrameError,
+    FrameType,
+    Iax,
+    Ie,
+    cause_elements,
+    text_elements,
+)
+from rowanmast.routes import read_route
+
+MAX_DESCRIPTION = 1000  # bytes that fit into one frame beside the other elements
+
+log = logging.getLogger(__name__)
+
+
+class IaxFront:
+    def __init__(self, inbox: Inbox, random: Random, takes_new: Callable[[], bool]) -> None:
+        self.inbox = inbox
+        self.random = random
+        self.takes_new = takes_new
+        self.calls: dict[str, Leg] = {}
+
+    # The port
+
+    def answer(self, call: str, text: str) -> None:
+        leg = self.calls[call]
+        if len(text.encode("utf-8", "surrogatepass")) > MAX_DESCRIPTION:
+            log.warning("description_too_long", extra={"call": call})
+            self.inbox.post(Released(call, causes.INTERWORKING))
+            self.end(call, Iax.HANGUP, causes.INTERWORKING, "description too long for IAX2")
+            return
+        leg.send(FrameType.IAX, Iax.ACCEPT, text_elements(Ie.DESCRIPTION, text))
+        leg.send(FrameType.CONTROL, Control.ANSWER)
+
+    def refuse(self, call: str, stay_away_us: int) -> None:
+        wait = max(math.ceil(stay_away_us / 1_000_000), 1)
+        self.end(call, Iax.REJECT, causes.CONGESTION, f"no way now, come back after {wait} s")
+
+    def fail(self, call: str, why: Failure) -> None:
+        self.end(call, Iax.REJECT, causes.TEMPORARY_FAILURE, f"call failed: {why.value}")
+
+    def release(self, call: str, cause: int) -> None:
+        self.end(call, Iax.HANGUP, cause, "released")
+
+    def end(self, call: str, subclass: Iax, code: int, text: str) -> None:
+        leg = self.calls.pop(call, None)
+        if leg is not None:
+            leg.end(subclass, cause_elements(code, text))
+
+    # Calls
+
+    def invited(self, leg: Leg, frame: Frame) -> Caller:
+        call = f"{self.random.getrandbits(64):016x}"
+        if not self.takes_new():
+            leg.end(
+                Iax.REJECT, cause_elements(causes.TEMPORARY_FAILURE, "backup router, come back after 1 s")
+            )
+            return Caller(self, call)
+        try:
+            offer = self.read_offer(call, frame)
+        except ValueError as error:
+            log.warning("bad_new", extra={"why": error})
+            leg.end(Iax.REJECT, cause_elements(causes.MANDATORY_MISSING, f"malformed NEW: {error}"[:200]))
+            return Caller(self, call)
+        self.calls[call] = leg
+        self.inbox.post(offer)
+        return Caller(self, call)
+
+    def read_offer(self, call: str, frame: Frame) -> Offer:
+        if frame.integer(Ie.VERSION) != VERSION:
+            raise FrameError("no protocol version 2")
+        left_ms = frame.integer(Ie.SETUP_MS)
+        key, klass = frame.text(Ie.CALLED_NUMBER), frame.text(Ie.CALLED_CONTEXT)
+        if left_ms is None or not key or not klass:
+            raise FrameError("no time to wait, called number or class")
+        route = read_route(frame.text(Ie.ROUTE))
+        return Offer(self, call, klass, key, frame.text(Ie.DESCRIPTION), left_ms * 1000, route)
+
+
+class Caller:
+    """The caller of one call, as its frames' owner."""
+
+    def __init__(self, front: IaxFront, call: str) -> None:
+        self.front = front
+        self.call = call
+
+    def heard(self, frame: Frame) -> None:
+        if frame.is_iax(Iax.HANGUP, Iax.REJECT) and self.front.calls.pop(self.call, None) is not None:
+            cause = frame.integer(Ie.CAUSECODE) or causes.NORMAL_CLEARING
+            self.front.inbox.post(Released(self.call, cause))  # counts if the call stands,
+            self.front.inbox.post(Cancelled(self.call))  # and this if it does not
+
+    def lost(self) -> None:
+        if self.front.calls.pop(self.call, None) is not None:
+            log.info("iax_caller_lost", extra={"call": self.call})
+            self.front.inbox.post(Cancelled(self.call))
+
+    def may_repeat(self) -> bool:
+        return True
--- /dev/null
+++ b/rowanmast/iax2/session.py
@@ -0,0 +1,124 @@
+"""One IAX2 call's reliable exchange of full frames (RFC 5456, section 7), without sockets.
+
+Frames are numbered, acknowledged, sent again a bounded number of times, and handed on once and in order.
+Times are microseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from rowanmast.iax2.frames import Elements, Frame, FrameType, Iax
+
+FIRST_WAIT = 250_000  # before a frame that is not acknowledged is sent again; doubles each time
+RETRIES = 4
+LINGER = 5_000_000  # an ended call still acknowledges repeats, and its number rests, for this long
+PING_EACH = 2_000_000  # a call on which nothing was heard for this long is asked whether it lives
+
+
+class Session:
+    def __init__(self, number: int, now: int, remote: int = 0) -> None:
+        self.number = number
+        self.remote = remote  # the other side's call number; 0 until it is known
+        self.begun = now
+        self.heard_at = now
+        self.oseqno = 0  # of the next frame sent
+        self.iseqno = 0  # of the next frame expected
+        self.last_timestamp = -1
+        self.unacked: list[Frame] = []  # in order
+        self.retries = 0
+        self.resend_at = 0
+        self.outbox: list[Frame] = []
+        self.ended_at: int | None = None  # a HANGUP or REJECT was sent or heard
+        self.first: Frame | None = None  # the NEW that began a call from the other side
+
+    # Sending
+
+    def send(self, now: int, kind: FrameType, subclass: int, elements: Elements = ()) -> None:
+        """Sends a frame that is numbered and sent again until it is acknowledged."""
+        frame = self.frame(now, kind, subclass, elements)
+        self.oseqno = (self.oseqno + 1) & 0xFF
+        if not self.unacked:
+            self.retries, self.resend_at = 0, now + FIRST_WAIT
+        self.unacked.append(frame)
+        self.outbox.append(frame)
+
+    def frame(self, now: int, kind: FrameType, subclass: int, elements: Elements = ()) -> Frame:
+        stamp = max((now - self.begun) // 1000, self.last_timestamp + 1)
+        self.last_timestamp = stamp
+        return Frame(self.number, self.remote, stamp, self.oseqno, self.iseqno, kind, subclass, elements)
+
+    def end(self, now: int, subclass: Iax, elements: Elements = ()) -> None:
+        """Sends the HANGUP or REJECT that ends the call; only the first one counts."""
+        if self.ended_at is None:
+            self.send(now, FrameType.IAX, subclass, elements)
+            self.ended_at = now
+
+    def reply(self, frame: Frame, subclass: Iax) -> None:
+        """Sends a frame that takes no number and bears the time of the one that it replies to."""
+        self.outbox.append(
+            Frame(
+                self.number, self.remote, frame.timestamp, self.oseqno, self.iseqno, FrameType.IAX, subclass
+            )
+        )
+
+    # Receiving
+
+    def receive(self, now: int, frame: Frame) -> Frame | None:
+        """The frame, if it is the next in order and has something to say to the call's owner."""
+        self.heard_at = now
+        if self.remote == 0:
+            self.remote = frame.source
+        self.acknowledged(now, frame.iseqno)
+        if frame.is_iax(Iax.VNAK):
+            self.outbox += [replace(lost.again(), destination=self.remote) for lost in self.unacked]
+            return None
+        if not frame.counted:
+            return frame if frame.is_iax(Iax.INVAL) else None
+        ahead = (frame.oseqno - self.iseqno) & 0xFF
+        if ahead >= 0x80:  # a repeat: our acknowledgement was lost
+            self.reply(frame, Iax.ACK)
+            return None
+        if ahead:
+            self.reply(frame, Iax.VNAK)  # an earlier one was lost: sent anew from there
+            return None
+        self.iseqno = (self.iseqno + 1) & 0xFF
+        if frame.is_iax(Iax.PING, Iax.LAGRQ):
+            answer = Iax.PONG if frame.is_iax(Iax.PING) else Iax.LAGRP
+            self.send(now, FrameType.IAX, answer)
+            self.outbox[-1] = self.unacked[-1] = replace(self.unacked[-1], timestamp=frame.timestamp)
+            return None
+        self.reply(frame, Iax.ACK)
+        if frame.is_iax(Iax.HANGUP, Iax.REJECT) and self.ended_at is None:
+            self.ended_at = now
+            self.unacked.clear()
+        return None if frame.is_iax(Iax.PONG, Iax.LAGRP) else frame
+
+    def acknowledged(self, now: int, iseqno: int) -> None:
+        """Everything before `iseqno` has arrived at the other side."""
+        while self.unacked and 0 < ((iseqno - self.unacked[0].oseqno) & 0xFF) < 0x80:
+            del self.unacked[0]
+            self.retries, self.resend_at = 0, now + FIRST_WAIT
+
+    # Time
+
+    def expire(self, now: int) -> bool:
+        """Sends again what is due; False once the other side is taken for dead."""
+        if self.unacked and now >= self.resend_at:
+            if self.retries == RETRIES:
+                self.unacked.clear()
+                return False
+            self.retries += 1
+            self.resend_at = now + (FIRST_WAIT << self.retries)
+            self.outbox += [replace(frame.again(), destination=self.remote) for frame in self.unacked]
+        elif not self.unacked and self.ended_at is None and now >= self.heard_at + PING_EACH:
+            self.send(now, FrameType.IAX, Iax.PING)
+        return True
+
+    def next_due(self) -> int:
+        if self.unacked:
+            return self.resend_at
+        return (self.heard_at + PING_EACH) if self.ended_at is None else self.ended_at + LINGER
+
+    def forgotten(self, now: int) -> bool:
+        return self.ended_at is not None and not self.unacked and now >= self.ended_at + LINGER
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -5,10 +5,13 @@
 import asyncio
 import logging
 import math
+from dataclasses import replace
 from typing import cast
 
+from rowanmast.causes import NORMAL_CLEARING
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
 from rowanmast.net import sip
+from rowanmast.routes import read_route
 
 MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
@@ -119,10 +122,10 @@
         self.inbox.post(offer)
 
     def read_offer(self, message: sip.Message) -> Offer:
-        route = dict(part.strip().split(":", 1) for part in message.get("x-route").split(";") if part.strip())
+        route = read_route(message.get("x-route"))
         left_ms = float(message.get("x-setup-ms"))
-        if not message.call_id or not math.isfinite(left_ms) or "dest" not in route:
-            raise ValueError("no id, time to wait or destination")
+        if not message.call_id or not math.isfinite(left_ms):
+            raise ValueError("no call id or no time to wait")
         return Offer(
             front=self,
             call=message.call_id,
@@ -130,19 +133,14 @@
             key=message.user,
             text=message.body.decode(),
             left_us=max(int(left_ms * 1000), 0),
-            dest=int(route["dest"]),
-            width=int(route["width"]) if "width" in route else None,
-            via=None if int(route.get("via", -1)) < 0 else int(route["via"]),
-            redialled=message.get("x-redial") == "1",
-            transit=route.get("transit") == "1",
-            again=route.get("again") == "1",
+            route=replace(route, redialled=message.get("x-redial") == "1"),
         )
 
 
 def reason(message: sip.Message) -> int:
     """The Q.850 cause of a BYE; a release without one is normal clearing."""
     cause = message.get("reason").partition("cause=")[2].split(";")[0].strip()
-    return int(cause) if cause.isascii() and cause.isdigit() else 16
+    return int(cause) if cause.isascii() and cause.isdigit() else NORMAL_CLEARING
 
 
 class Connection(asyncio.Protocol):
--- a/rowanmast/net/jsonlines.py
+++ b/rowanmast/net/jsonlines.py
@@ -8,23 +8,10 @@
 import ujson
 
 from rowanmast import interface as api
-from rowanmast.settings import read_report
+from rowanmast.causes import NOTES
+from rowanmast.settings import parse_load
 
 MAX_MESSAGE = 16 * 1024
-CAUSES = {
-    "all_trunks_busy": api.Cause.NO_CIRCUIT,
-    "via_said_no": api.Cause.TURNED_BACK,
-    "far_cpu_full": api.Cause.FULL_BEYOND,
-    "cpu_full": api.Cause.PROCESSOR_FULL,
-    "number_busy": api.Cause.LINES_BUSY,
-}
-REFUSALS = {  # a release before the answer, by its Q.850 cause
-    34: api.Outcome.FULL,
-    17: api.Outcome.BUSY,
-    47: api.Outcome.BUSY,
-    102: api.Outcome.NOT_SENT,
-}
-PLATFORM_NAMES = {"x0": "spare", "x1": "total", "util": "utilization", "queue": "backlog"}
 
 
 class LineError(ValueError):
@@ -41,7 +28,7 @@
 
     @property
     def cause(self) -> api.Cause | None:
-        return CAUSES.get(str(self.attrs.get("note")))
+        return NOTES.get(str(self.attrs.get("note")))
 
     @property
     def report(self) -> api.Report:
@@ -80,15 +67,3 @@
 def write(msg: str, sid: str, attrs: dict[str, str], **more: str | int) -> bytes:
     fields = {"msg": msg, "sid": sid, "attrs": attrs, **more}
     return ujson.dumps(fields, ensure_ascii=False, escape_forward_slashes=False).encode() + b"\n"
-
-
-def parse_load(load: str) -> api.Report:
-    """A report such as x0:12;x1:40;queue:3, with the platform's names or the settings'."""
-    values: dict[str, float] = {}
-    for item in load.split(";"):
-        name, _, value = item.partition(":")
-        try:
-            values[PLATFORM_NAMES.get(name, name)] = float(value)
-        except ValueError:
-            continue
-    return read_report(values)
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -5,15 +5,16 @@
 import asyncio
 import logging
 from random import Random
-from typing import Protocol, cast
+from typing import cast
 
+from rowanmast import causes
 from rowanmast import interface as api
 from rowanmast.core.ports import (
-    NORMAL_CLEARING,
     Answered,
     Attempt,
     AttemptOver,
     CallOver,
+    Gate,
     Inbox,
     SwitchDown,
 )
@@ -27,12 +28,6 @@
 log = logging.getLogger(__name__)
 
 
-class Gate(Protocol):
-    """Asked when a set-up's bytes are about to leave: the ledger."""
-
-    def may_leave(self, attempt: Attempt) -> bool: ...
-
-
 class PeerLink:
     """The one connection to a switch, kept open while the switch is listed, and what is out on it."""
 
@@ -73,7 +68,7 @@
 
     def call_off(self, call: str) -> None:
         if self.waiting.pop(call, None) is None and self.out.pop(call, None) is not None:
-            self.close_call(call, NORMAL_CLEARING)
+            self.close_call(call, causes.NORMAL_CLEARING)
 
     def release(self, call: str, cause: int) -> None:
         self.close_call(call, cause)
@@ -124,11 +119,11 @@
     def close_heard(self, line: jsonlines.Line) -> None:
         attempt = self.out.pop(line.sid, None)
         if attempt is not None:
-            outcome = jsonlines.REFUSALS.get(line.code, api.Outcome.CUT)
+            outcome = causes.of_refusal(line.code)
             over = AttemptOver(self.exchange, line.sid, attempt.number, outcome, line.cause, line.report)
             self.inbox.post(over)
             return
-        outcome = api.Outcome.DONE if line.code == NORMAL_CLEARING else api.Outcome.CUT
+        outcome = causes.of_release(line.code)
         self.inbox.post(CallOver(self.exchange, line.sid, outcome, line.report))
         if self.connection is not None:
             self.connection.write(jsonlines.write("closed", line.sid, {}))
--- a/rowanmast/settings.py
+++ b/rowanmast/settings.py
@@ -7,6 +7,7 @@
 from rowanmast import interface as api
 
 Fields = dict[str, Any]
+PLATFORM_NAMES = {"x0": "spare", "x1": "total", "util": "utilization", "queue": "backlog"}
 
 
 def number(value: Any) -> float | None:
@@ -103,3 +104,15 @@
 def index_names(items: Any) -> dict[str, int]:
     """The place of each class or tenant by its name."""
     return {str(item.get("name")): at for at, item in enumerate(items)} if isinstance(items, list) else {}
+
+
+def parse_load(load: str) -> api.Report:
+    """A report such as x0:12;x1:40;queue:3, with the platform's names or the settings'."""
+    values: dict[str, float] = {}
+    for item in load.split(";"):
+        name, _, value = item.partition(":")
+        try:
+            values[PLATFORM_NAMES.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return read_report(values)
