--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -18,10 +18,13 @@
 from rowanmast.control import CallAgent
 from rowanmast.core.ledger import Ledger, with_margin
 from rowanmast.core.ports import Input, SwitchLink
+from rowanmast.iax2.endpoint import Endpoint
+from rowanmast.iax2.front import IaxFront
+from rowanmast.iax2.peers import IaxLink
 from rowanmast.net import callers, logs
 from rowanmast.net.changelog import Change, ChangeLog, ListError, Reader, read_address
 from rowanmast.net.peers import PeerLink
-from rowanmast.net.turn import Turn
+from rowanmast.net.turn import Turn, now_us
 from rowanmast.settings import index_names, number, read_settings, section
 
 RELEASE_MARGIN_US = 50_000
@@ -77,11 +80,39 @@
         raise ConfigError(f"{path}: {error} is missing") from None
 
 
+@dataclass(frozen=True, slots=True)
+class IaxConfig:
+    """Where IAX2 is spoken: our address, and those of the switches that speak it, by their names."""
+
+    listen: tuple[str, int]
+    switches: dict[str, tuple[str, int]]
+
+
+def read_iax_config(path: str | None) -> IaxConfig | None:
+    """The file that ROWANMAST_IAX2 names; without it, no IAX2."""
+    if not path:
+        return None
+    try:
+        with open(path, "rb") as file:
+            config = ujson.loads(file.read())
+        switches = {str(name): read_address(at) for name, at in config.get("switches", {}).items()}
+        return IaxConfig(read_address(config["listen"]), switches)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (ListError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
 class Router:
     """All the parts of one router."""
 
-    def __init__(self, config: Config, reader: Reader, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, iax: IaxConfig | None, reader: Reader, loop: asyncio.AbstractEventLoop
+    ) -> None:
         self.config = config
+        self.iax = iax
         self.loop = loop
         self.random = Random(config.seed)
         self.links: dict[str, SwitchLink] = {}
@@ -90,7 +121,9 @@
         self.turn = Turn(loop, self.ledger)
         self.callers = callers.Callers(self, config.sockets // 2)
         self.changes = ChangeLog(config.changelog, reader, 0, self.tell, self.random)
-        self.peers: dict[str, PeerLink] = {}
+        self.peers: dict[str, PeerLink | IaxLink] = {}
+        self.iax_front = IaxFront(self, self.random, lambda: not self.callers.closing)
+        self.endpoint = Endpoint(now_us, self.iax_front.invited)
         self.stop = asyncio.Event()
 
     def post(self, item: Input) -> None:
@@ -105,16 +138,23 @@
             if entry.state is not api.State.GONE and (known is None or known.address != address):
                 if known is not None:
                     known.close()
-                link = PeerLink(
-                    entry.exchange, address, self, self.ledger, self.config.connect_s, self.random
-                )
+                link = self.make_link(entry.exchange, address)
                 self.links[entry.exchange] = self.peers[entry.exchange] = link
             elif entry.state is api.State.GONE and known is not None:
                 known.close()
         log.info("list", extra={"seq": change.seq, "hosts": len(change.listed.entries)})
         self.turn.post(change.listed)
 
+    def make_link(self, exchange: str, address: tuple[str, int]) -> PeerLink | IaxLink:
+        """The link that speaks the switch's protocol."""
+        if self.iax is not None and exchange in self.iax.switches:
+            at = self.iax.switches[exchange]
+            return IaxLink(exchange, address, at, self, self.ledger, self.endpoint)
+        return PeerLink(exchange, address, self, self.ledger, self.config.connect_s, self.random)
+
     async def run(self) -> None:
+        if self.iax is not None:
+            await self.loop.create_datagram_endpoint(lambda: self.endpoint, local_addr=self.iax.listen)
         for change in self.config.known:
             self.changes.seq = change.seq
             self.tell(change)
@@ -144,22 +184,23 @@
         log.info("stopped", extra={"owed": self.ledger.owed()})
 
 
-async def serve(config: Config, reader: Reader) -> None:
-    await Router(config, reader, asyncio.get_running_loop()).run()
+async def serve(config: Config, iax: IaxConfig | None, reader: Reader) -> None:
+    await Router(config, iax, reader, asyncio.get_running_loop()).run()
 
 
 def main() -> int:
     reader = Reader()
     try:
         config = read_config(os.environ.get("PROXY_CONFIG"), reader)
+        iax = read_iax_config(os.environ.get("ROWANMAST_IAX2"))
     except ConfigError as error:
         print(f"rowanmast: {error}", file=sys.stderr)
         return 1
     logs.set_up(config.name)
     try:
-        uvloop.run(serve(config, reader))
+        uvloop.run(serve(config, iax, reader))
     except OSError as error:
-        print(f"rowanmast: can't listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        print(f"rowanmast: can't listen: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/rowanmast/iax2/peers.py
+++ b/rowanmast/iax2/peers.py
@@ -29,9 +29,18 @@
 
 
 class IaxLink:
-    def __init__(self, exchange: str, address: Address, inbox: Inbox, gate: Gate, endpoint: Endpoint) -> None:
+    def __init__(
+        self,
+        exchange: str,
+        address: Address,
+        iax_address: Address,
+        inbox: Inbox,
+        gate: Gate,
+        endpoint: Endpoint,
+    ) -> None:
         self.exchange = exchange
-        self.address = address
+        self.address = address  # as the change log gives it; a new one tells of a new machine
+        self.iax_address = iax_address
         self.inbox = inbox
         self.gate = gate
         self.endpoint = endpoint
@@ -80,7 +89,7 @@
             self.endpoint.pokes.pop(number, None)
             self.inbox.post(api.Reported(self.exchange, False, int(PROBE_S * 1e9), api.Report()))
 
-        number = self.endpoint.poke(self.address, answered)
+        number = self.endpoint.poke(self.iax_address, answered)
         timeout = loop.call_later(PROBE_S, silent)
 
     def close(self) -> None:
@@ -95,7 +104,7 @@
         self.attempt = attempt
         self.text = ""
         self.stands = False
-        self.leg: Leg = link.endpoint.call(link.address, self)
+        self.leg: Leg = link.endpoint.call(link.iax_address, self)
 
     def heard(self, frame: Frame) -> None:
         if self.link.calls.get(self.attempt.call) is not self:
--- a/rowanmast/iax2/session.py
+++ b/rowanmast/iax2/session.py
@@ -51,6 +51,8 @@
     def end(self, now: int, subclass: Iax, elements: Elements = ()) -> None:
         """Sends the HANGUP or REJECT that ends the call; only the first one counts."""
         if self.ended_at is None:
+            if self.remote == 0:  # a NEW of which nothing was heard must not set up the call later on
+                self.unacked.clear()
             self.send(now, FrameType.IAX, subclass, elements)
             self.ended_at = now
 
@@ -115,10 +117,5 @@
             self.send(now, FrameType.IAX, Iax.PING)
         return True
 
-    def next_due(self) -> int:
-        if self.unacked:
-            return self.resend_at
-        return (self.heard_at + PING_EACH) if self.ended_at is None else self.ended_at + LINGER
-
     def forgotten(self, now: int) -> bool:
         return self.ended_at is not None and not self.unacked and now >= self.ended_at + LINGER
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
+import ujson
 from conftest import SETTINGS, entry
 
 from rowanmast import interface as api
+from rowanmast.__main__ import Config, IaxConfig, Router
 from rowanmast.core.ports import Attempt, Failure, Input, Offer, Route
+from rowanmast.iax2 import frames
+from rowanmast.iax2.endpoint import Endpoint, Leg
+from rowanmast.iax2.frames import Control, Frame, FrameType, Iax, Ie
+from rowanmast.net import jsonlines, sip
+from rowanmast.net.changelog import Reader
+from rowanmast.net.turn import now_us
 
 US = 1_000_000  # microseconds in a second
 RELEASE = SETTINGS.release_ns // 1000
@@ -204,3 +214,340 @@
 
 def full_list(count: int = 4) -> api.ExchangeList:
     return api.ExchangeList(api.ListKind.FULL, tuple(entry(number) for number in range(count)))
+
+
+# Stand-ins on loopback sockets, written from PROTOCOL's and RFC 5456's words
+
+
+def ports(count: int) -> list[int]:
+    """Ports of 127.0.0.1 that are free now, for TCP and UDP alike."""
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [int(one.getsockname()[1]) for one in held]
+    for one in held:
+        one.close()
+    return found
+
+
+class Switch:
+    """What both kinds of stand-in switches do with a call: take it while there is room, hold it, end it."""
+
+    def __init__(self, name: str, number: int, port: int, watch: Watch, room: int = 1000) -> None:
+        self.name, self.number, self.port, self.watch, self.room = name, number, port, watch, room
+        self.answers, self.hold_s = True, 0.1
+        self.calls: dict[object, str] = {}  # the numbers called of those in work here
+        self.taken = 0
+
+    def offered(self, call: Any, key: str, text: str) -> None:
+        self.watch.sent(self.name, key)
+        if len(self.calls) >= self.room:
+            self.watch.ended(key, proven=True)
+            self.refuse(call, 34, "cpu_full")
+            return
+        self.taken += 1
+        self.calls[call] = key
+        if self.answers:
+            asyncio.get_running_loop().call_later(0.005, self.stand, call, text)
+
+    def stand(self, call: Any, text: str) -> None:
+        if call in self.calls:
+            self.watch.stood(self.calls[call])
+            self.answer(call, text + " answered")
+            asyncio.get_running_loop().call_later(self.hold_s, self.finish, call)
+
+    def finish(self, call: Any) -> None:
+        if call in self.calls:
+            self.watch.released_by_switch(self.calls.pop(call))
+            self.refuse(call, 16, "")
+
+    def given_up(self, call: Any) -> None:
+        """The router took the set-up back or released the call."""
+        key = self.calls.pop(call, None)
+        if key is not None:
+            self.watch.ended(key)
+
+    def answer(self, call: Any, text: str) -> None:
+        raise NotImplementedError
+
+    def refuse(self, call: Any, cause: int, note: str) -> None:
+        raise NotImplementedError
+
+
+class JsonSwitch(Switch, asyncio.Protocol):
+    """A switch that speaks JSON lines, on one connection at a time."""
+
+    async def start(self) -> None:
+        self.parser = jsonlines.Parser()
+        self.server = await asyncio.get_running_loop().create_server(lambda: self, "127.0.0.1", self.port)
+
+    def stop(self) -> None:
+        self.server.close()
+        self.transport.abort()
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.parser = jsonlines.Parser()
+        self.write("status", "", {"load": "x0:500;x1:500;util:0.1;queue:0"})
+
+    def data_received(self, data: bytes) -> None:
+        for line in self.parser.feed(data):
+            if line.msg == "open":
+                self.offered(line.sid, str(line.attrs["key"]), line.text)
+            elif line.msg == "close":
+                self.given_up(line.sid)
+
+    def write(self, msg: str, sid: str, attrs: dict[str, str], **more: Any) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(jsonlines.write(msg, sid, attrs, **more))
+
+    def answer(self, call: Any, text: str) -> None:
+        self.write("ready", call, {}, text=text)
+
+    def refuse(self, call: Any, cause: int, note: str) -> None:
+        self.write("close", call, {"note": note} if note else {}, code=cause)
+
+
+class IaxSwitch(Switch):
+    """A switch that speaks IAX2; a call is known by its leg."""
+
+    async def start(self) -> None:
+        self.endpoint = Endpoint(now_us, self.invited)
+        await udp(self.endpoint, self.port)
+
+    def stop(self) -> None:
+        assert self.endpoint.transport is not None
+        self.endpoint.transport.close()
+
+    def forget(self) -> None:
+        """A reset: the process comes up again and knows of nothing."""
+        for key in self.calls.values():
+            self.watch.ended(key)
+        self.calls.clear()
+        self.endpoint.legs.clear()
+        self.endpoint.incoming.clear()
+
+    def invited(self, leg: Leg, frame: Frame) -> Any:
+        self.offered(leg, frame.text(Ie.CALLED_NUMBER), frame.text(Ie.DESCRIPTION))
+        return IaxSide(leg, ended=lambda frame: self.given_up(leg))
+
+    def answer(self, call: Any, text: str) -> None:
+        call.send(FrameType.IAX, Iax.ACCEPT, frames.text_elements(Ie.DESCRIPTION, text))
+        call.send(FrameType.CONTROL, Control.ANSWER)
+
+    def refuse(self, call: Any, cause: int, note: str) -> None:
+        call.end(Iax.HANGUP, frames.cause_elements(cause, note))
+
+
+class IaxSide:
+    """The owner of a leg that only minds its end."""
+
+    def __init__(self, leg: Leg | None, ended: Callable[[Frame | None], None]) -> None:
+        self.leg, self.ended = leg, ended
+        self.text, self.answered = "", asyncio.get_running_loop().create_future()
+
+    def heard(self, frame: Frame) -> None:
+        if frame.is_iax(Iax.ACCEPT):
+            self.text = frame.text(Ie.DESCRIPTION)
+        elif frame.kind == FrameType.CONTROL and frame.subclass == Control.ANSWER:
+            self.answered.set_result(self.text)
+        elif frame.is_iax(Iax.HANGUP, Iax.REJECT):
+            self.ended(frame)
+
+    def lost(self) -> None:
+        self.ended(None)
+
+    def may_repeat(self) -> bool:
+        return True
+
+
+async def udp(endpoint: Endpoint, port: int) -> None:
+    await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: endpoint, local_addr=("127.0.0.1", port)
+    )
+
+
+class Caller:
+    """What both kinds of stand-in callers note: offers, answers and releases."""
+
+    def __init__(self, watch: Watch, port: int) -> None:
+        self.watch, self.port = watch, port
+        self.answers: dict[str, asyncio.Future[tuple[str, str]]] = {}  # by number called: verdict, details
+        self.over: dict[str, asyncio.Event] = {}
+
+    def dial(self, key: str, left_s: float = 3.0, route: str = "dest:1;width:1;via:-1") -> None:
+        self.answers[key] = asyncio.get_running_loop().create_future()
+        self.over[key] = asyncio.Event()
+        self.watch.offered(key, left_s)
+        self.invite(key, int(left_s * 1000), route)
+
+    def final(self, key: str, verdict: str, details: str) -> None:
+        self.watch.final(key, verdict)
+        self.answers[key].set_result((verdict, details))
+
+    def released(self, key: str) -> None:
+        self.watch.heard_release(key)
+        self.over[key].set()
+
+    async def answer(self, key: str) -> tuple[str, str]:
+        return await asyncio.wait_for(self.answers[key], 10)
+
+    def invite(self, key: str, left_ms: int, route: str) -> None:
+        raise NotImplementedError
+
+
+class SipCaller(Caller, asyncio.Protocol):
+    async def start(self) -> None:
+        self.parser = sip.Parser()
+        await asyncio.get_running_loop().create_connection(lambda: self, "127.0.0.1", self.port)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def invite(self, key: str, left_ms: int, route: str) -> None:
+        self.request("INVITE", key, f"sdp {key}", ("X-Setup-Ms", str(left_ms)), ("X-Route", route))
+
+    def request(self, method: str, key: str, body: str = "", *more: tuple[str, str]) -> None:
+        head = (("Call-ID", f"sip{key}"), ("CSeq", f"1 {method}"), ("X-Service", "plain"), *more)
+        self.transport.write(sip.write(f"{method} sip:{key}@net SIP/2.0", head, body.encode()))
+
+    def data_received(self, data: bytes) -> None:
+        for message in self.parser.feed(data):
+            key = message.call_id.removeprefix("sip")
+            if message.method == "BYE":
+                self.transport.write(sip.respond(message, 200))
+                self.released(key)
+            elif message.cseq_method == "INVITE" and message.status >= 200:
+                verdict = "answer" if message.status == 200 else str(message.status)
+                self.final(key, verdict, message.body.decode() or message.get("retry-after"))
+
+
+class IaxCaller(Caller):
+    async def start(self) -> None:
+        self.endpoint = Endpoint(now_us, self.invited)
+        self.legs: dict[str, Leg] = {}
+        await udp(self.endpoint, 0)
+
+    def invited(self, leg: Leg, frame: Frame) -> Any:
+        raise AssertionError("a router never calls a caller")
+
+    def invite(self, key: str, left_ms: int, route: str) -> None:
+        side = IaxSide(None, ended=lambda frame: self.ended(key, frame))
+        side.answered.add_done_callback(lambda done: self.final(key, "answer", done.result()))
+        self.legs[key] = self.endpoint.call(("127.0.0.1", self.port), side)
+        self.legs[key].send(FrameType.IAX, Iax.NEW, new_elements(key, left_ms, route))
+
+    def ended(self, key: str, frame: Frame | None) -> None:
+        if not self.answers[key].done():
+            code = "lost" if frame is None else str(frame.integer(Ie.CAUSECODE))
+            self.final(key, code, "" if frame is None else frame.text(Ie.CAUSE))
+        else:
+            self.released(key)
+
+
+def new_elements(key: str, left_ms: int, route: str) -> frames.Elements:
+    return (
+        (Ie.VERSION, b"\0\2"),
+        *frames.text_elements(Ie.CALLED_NUMBER, key),
+        *frames.text_elements(Ie.CALLED_CONTEXT, "plain"),
+        (Ie.SETUP_MS, left_ms.to_bytes(4)),
+        *frames.text_elements(Ie.ROUTE, route),
+        *frames.text_elements(Ie.DESCRIPTION, f"sdp {key}"),
+    )
+
+
+class ChangeLogServer(asyncio.Protocol):
+    """Holds the events of the change log and tells those that are asked for as soon as they are there."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.events = port, []  # type: ignore[var-annotated]
+        self.waiting: tuple[int, Any] | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.get_running_loop().create_server(lambda: self, "127.0.0.1", self.port)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        since = int(data.partition(b"since=")[2].partition(b"&")[0])
+        self.waiting = (since, self.transport)
+        self.tell()
+
+    def tell(self) -> None:
+        since, transport = self.waiting or (len(self.events), None)
+        if since < len(self.events):
+            self.waiting = None
+            body = ujson.dumps({"seq": len(self.events), "results": self.events[since:]}).encode()
+            transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    def add(self, whole: bool, *hosts: dict[str, Any]) -> None:
+        fleet = {"seq": len(self.events) + 1, "whole": whole, "hosts": hosts}
+        self.events.append({"seq": len(self.events) + 1, "fleet": fleet})
+        self.tell()
+
+
+def host(name: str, number: int, port: int, health: str = "ready") -> dict[str, Any]:
+    return {
+        "host": name,
+        "dial": f"127.0.0.1:{port}",
+        "site": "east",
+        "block": number,
+        "health": health,
+        "born_ms": 0,
+    }
+
+
+class Town:
+    """One router with its switches and change log; `async with` starts them and ends them."""
+
+    def __init__(self, own: int = 0) -> None:
+        self.own = own
+        self.watch = Watch(time.monotonic, 0.2, slack_s=0.07)
+        self.sip_port, self.iax_port, self.log_port, *self.spare = ports(7)
+        self.changes = ChangeLogServer(self.log_port)
+        self.switches: list[JsonSwitch | IaxSwitch] = []
+
+    def json_switch(self, name: str, number: int, **more: Any) -> JsonSwitch:
+        self.switches.append(JsonSwitch(name, number, self.spare.pop(), self.watch, **more))
+        return self.switches[-1]  # type: ignore[return-value]
+
+    def iax_switch(self, name: str, number: int, **more: Any) -> IaxSwitch:
+        self.switches.append(IaxSwitch(name, number, self.spare.pop(), self.watch, **more))
+        return self.switches[-1]  # type: ignore[return-value]
+
+    async def __aenter__(self) -> Town:
+        for part in (self.changes, *self.switches):
+            await part.start()
+        self.changes.add(True, *(host(one.name, one.number, one.port) for one in self.switches))
+        listed = {one.name: ("127.0.0.1", one.port) for one in self.switches if isinstance(one, IaxSwitch)}
+        self.settings = replace(SETTINGS, own_exchange=self.own, release_ns=200_000_000, max_attempts=6)
+        config = Config(
+            name="n0",
+            listen=("127.0.0.1", self.sip_port),
+            seed=7,
+            sockets=200,
+            changelog=("127.0.0.1", self.log_port),
+            known=[],
+            settings=self.settings,
+            classes={"plain": 0},
+            connect_s=0.5,
+        )
+        loop = asyncio.get_running_loop()
+        self.router = Router(config, IaxConfig(("127.0.0.1", self.iax_port), listed), Reader(), loop)
+        self.running = loop.create_task(self.router.run())
+        await eventually(lambda: all(one.name in self.router.ledger.listed for one in self.switches))
+        await eventually(lambda: all(getattr(link, "connection", 1) for link in self.router.peers.values()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.router.stop.set()
+        await asyncio.wait_for(self.running, 15)
+        for switch in self.switches:
+            switch.stop()
+        assert not self.router.ledger.owed()
+
+
+async def eventually(holds: Callable[[], bool], within_s: float = 5.0) -> None:
+    end = time.monotonic() + within_s
+    while not holds():
+        assert time.monotonic() < end, "waited in vain"
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_iax2_session.py
@@ -0,0 +1,166 @@
+"""IAX2 frames and sessions: a model of two sides of a call and the network that loses frames between them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanmast.iax2 import frames
+from rowanmast.iax2.frames import Control, Frame, FrameError, FrameType, Iax, Ie
+from rowanmast.iax2.session import FIRST_WAIT, LINGER, RETRIES, Session
+
+MS = 1000
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.integers(1, 0x7FFF),
+    st.integers(0, 0x7FFF),
+    st.integers(0, 2**32 - 1),
+    st.lists(st.tuples(st.integers(0, 255), st.binary(max_size=20)), max_size=5),
+    st.booleans(),
+)
+def test_frames_come_back_as_written(
+    source: int, destination: int, stamp: int, elements: list[tuple[int, bytes]], again: bool
+) -> None:
+    frame = Frame(source, destination, stamp, 7, 9, FrameType.IAX, Iax.NEW, tuple(elements), again)
+    assert frames.read(frames.write(frame)) == frame
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=60))
+def test_any_datagram_is_read_or_refused(data: bytes) -> None:
+    try:
+        assert frames.read(data).source <= frames.MAX_CALL_NUMBER
+    except FrameError as error:
+        assert str(error)
+
+
+def test_a_new_is_laid_out_as_the_rfc_has_it() -> None:
+    new = Frame(1, 0, 3, 0, 0, FrameType.IAX, Iax.NEW, ((Ie.VERSION, b"\0\2"), (Ie.CALLED_NUMBER, b"77")))
+    assert frames.write(new).hex() == "8001000000000003000006010b02000201023737"
+
+
+def test_long_texts_are_cut_and_joined() -> None:
+    text = "é" * 300
+    frame = Frame(1, 0, 0, 0, 0, FrameType.IAX, Iax.NEW, frames.text_elements(Ie.DESCRIPTION, text))
+    assert len(frame.elements) == 3 and frames.read(frames.write(frame)).text(Ie.DESCRIPTION) == text
+
+
+class Model:
+    """Two sessions and the frames on their way; what one sends the other must hear once and in order."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.sides = (Session(5, 0), Session(9, 0))
+        self.flying: list[list[Frame]] = [[], []]  # towards each side
+        self.sent: tuple[list[int], list[int]] = ([], [])
+        self.heard: tuple[list[int], list[int]] = ([], [])
+        self.count = 0
+        self.alive = True
+
+    def step(self, kind: str, side: int, pick: int) -> None:
+        session, flying = self.sides[side], self.flying[side]
+        if kind == "send" and self.alive and (self.sent[0] or side == 0):
+            self.count += 1
+            element = (int(Ie.SETUP_MS), self.count.to_bytes(4))
+            session.send(self.now, FrameType.CONTROL, Control.ANSWER, (element,))
+            self.sent[side].append(self.count)
+        elif kind == "arrive" and flying:
+            self.arrive(side, flying.pop(pick % len(flying)))
+        elif kind == "repeat" and flying:
+            self.arrive(side, flying[pick % len(flying)])
+        elif kind == "lose" and flying:
+            flying.pop(pick % len(flying))
+        elif kind == "wait":
+            self.now += pick * 20 * MS
+            for other in self.sides:
+                self.alive = other.expire(self.now) and self.alive
+        self.collect()
+
+    def arrive(self, side: int, frame: Frame) -> None:
+        news = self.sides[side].receive(self.now, frame)
+        if news is not None:
+            self.heard[side].append(news.integer(Ie.SETUP_MS) or 0)
+
+    def collect(self) -> None:
+        for side, session in enumerate(self.sides):
+            self.flying[1 - side] += session.outbox
+            session.outbox = []
+        for side in (0, 1):
+            assert self.heard[side] == self.sent[1 - side][: len(self.heard[side])], "once and in order"
+
+
+KINDS = ("send", "send", "arrive", "arrive", "arrive", "repeat", "lose", "wait")
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(KINDS), st.integers(0, 1), st.integers(0, 9)), max_size=80))
+def test_frames_are_heard_once_and_in_order(drawn: list[tuple[str, int, int]]) -> None:
+    model = Model()
+    for step in drawn:
+        model.step(*step)
+    for _ in range(400):  # from here on nothing is lost, so all arrives unless a side was given up
+        for side in (0, 1):
+            while model.flying[side]:
+                model.step("arrive", side, 0)
+        model.step("wait", 0, 1)
+        for side in (0, 1):
+            while model.flying[side]:
+                model.step("arrive", side, 0)
+    assert not model.alive or all(model.heard[side] == model.sent[1 - side] for side in (0, 1))
+
+
+def test_resending_is_bounded_and_then_the_other_side_is_dead() -> None:
+    session, now, sent = Session(5, 0), 0, 0
+    session.send(now, FrameType.IAX, Iax.NEW)
+    while session.expire(now):
+        sent += len(session.outbox)
+        session.outbox.clear()
+        now += 10 * MS
+    assert sent == 1 + RETRIES and now >= FIRST_WAIT * (2 ** (RETRIES + 1) - 1)
+
+
+def test_ping_and_lagrq_are_answered_with_their_timestamp() -> None:
+    session = Session(5, 0, remote=9)
+    for number, (asked, answer) in enumerate(((Iax.PING, Iax.PONG), (Iax.LAGRQ, Iax.LAGRP))):
+        assert session.receive(0, Frame(9, 5, 1234, number, number, FrameType.IAX, asked)) is None
+        assert session.outbox[-1].is_iax(answer) and session.outbox[-1].timestamp == 1234
+
+
+def test_a_frame_ahead_is_answered_with_vnak_and_vnak_brings_the_lost_ones() -> None:
+    session = Session(5, 0, remote=9)
+    assert session.receive(0, Frame(9, 5, 1, 1, 0, FrameType.IAX, Iax.ACCEPT)) is None
+    assert session.outbox.pop().is_iax(Iax.VNAK)
+    session.send(0, FrameType.IAX, Iax.ACCEPT)
+    session.send(0, FrameType.CONTROL, Control.ANSWER)
+    session.outbox.clear()
+    session.receive(0, Frame(9, 5, 1, 0, 1, FrameType.IAX, Iax.VNAK))
+    assert [(frame.oseqno, frame.retransmitted) for frame in session.outbox] == [(1, True)]
+
+
+def test_an_ended_call_lingers_and_is_then_forgotten() -> None:
+    session = Session(5, 0, remote=9)
+    session.end(0, Iax.HANGUP)
+    session.end(0, Iax.REJECT)
+    assert len(session.unacked) == 1 and not session.forgotten(LINGER)
+    session.receive(0, Frame(9, 5, 1, 0, 1, FrameType.IAX, Iax.ACK))
+    assert session.forgotten(LINGER) and not session.forgotten(LINGER - 1)
+
+
+def test_a_new_that_was_called_off_unheard_is_not_sent_again() -> None:
+    session = Session(5, 0)
+    session.send(0, FrameType.IAX, Iax.NEW)
+    session.end(0, Iax.HANGUP)
+    session.outbox.clear()
+    session.expire(FIRST_WAIT)
+    assert [frame.subclass for frame in session.outbox] == [Iax.HANGUP]
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\x00" * 12, b"\x80\x01" + b"\0" * 8 + b"\x06\x01\x01", b"\x80" + b"\xff" * 11]
+)
+def test_frames_that_can_not_be_taken(data: bytes) -> None:
+    with pytest.raises(FrameError):
+        frames.read(data)
