--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -519,7 +519,18 @@
         if held.ran_at is not None and kind.effect is not Effect.SAFE:
             self.actions.append(GiveUp(held.call.call))
         else:
-            self.actions.append(TurnAway(held.call.call, 0))
+            self.actions.append(TurnAway(held.call.call, self.stay_away(held.call)))
+
+    def stay_away(self, call: Call) -> int:
+        """How long it is of no use to come back: until the next interval, or until a pause is over."""
+        assert self.gate is not None
+        ends = [self.busy.get(call.key, (0, 0))[1]]
+        if self.gate.throttled:
+            ends.append(self.gate.begun + self.gate.span)
+        far = self.up.get(call.dest)
+        if far is not None and far.strikes:
+            ends.append(far.shut_until)
+        return min(max(max(ends) - self.now, 0), self.set.max_stay_away_ns)
 
     # Outcomes
 
--- a/rowanmast/net/logs.py
+++ b/rowanmast/net/logs.py
@@ -34,4 +34,4 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
-    logging.info("start", extra={"router": name})
+    logging.getLogger("rowanmast").info("start", extra={"router": name})
