--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from random import Random
 from typing import Any
 
@@ -15,6 +16,7 @@
 import uvloop
 
 from rowanmast import interface as api
+from rowanmast import vrrp
 from rowanmast.control import CallAgent
 from rowanmast.core.ledger import Ledger, with_margin
 from rowanmast.core.ports import Input, SwitchLink
@@ -86,6 +88,31 @@
 
     listen: tuple[str, int]
     switches: dict[str, tuple[str, int]]
+    pair: PairConfig | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PairConfig:
+    """The other router of a pair, and the VRRP of the two."""
+
+    listen: tuple[str, int]
+    peer: tuple[str, int]
+    parameters: vrrp.Parameters
+
+
+def read_pair(config: dict[str, Any]) -> PairConfig:
+    parameters = vrrp.Parameters(
+        vrid=int(config["vrid"]),
+        priority=int(config["priority"]),
+        address=str(IPv4Address(config["address"])),
+        interval=int(config.get("interval_cs", 100)),
+        preempt=bool(config.get("preempt", True)),
+    )
+    if not (1 <= parameters.vrid <= 255 and 1 <= parameters.priority <= vrrp.OWNER):
+        raise ValueError("vrid and priority lie between 1 and 255")
+    if not 1 <= parameters.interval <= 4095:
+        raise ValueError("interval_cs lies between 1 and 4095")
+    return PairConfig(read_address(config["listen"]), read_address(config["peer"]), parameters)
 
 
 def read_iax_config(path: str | None) -> IaxConfig | None:
@@ -96,7 +123,8 @@
         with open(path, "rb") as file:
             config = ujson.loads(file.read())
         switches = {str(name): read_address(at) for name, at in config.get("switches", {}).items()}
-        return IaxConfig(read_address(config["listen"]), switches)
+        pair = read_pair(config["vrrp"]) if "vrrp" in config else None
+        return IaxConfig(read_address(config["listen"]), switches, pair)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except KeyError as error:
@@ -122,8 +150,9 @@
         self.callers = callers.Callers(self, config.sockets // 2)
         self.changes = ChangeLog(config.changelog, reader, 0, self.tell, self.random)
         self.peers: dict[str, PeerLink | IaxLink] = {}
-        self.iax_front = IaxFront(self, self.random, lambda: not self.callers.closing)
+        self.iax_front = IaxFront(self, self.random, self.takes_iax)
         self.endpoint = Endpoint(now_us, self.iax_front.invited)
+        self.pair: vrrp.Endpoint | None = None
         self.stop = asyncio.Event()
 
     def post(self, item: Input) -> None:
@@ -152,9 +181,21 @@
             return IaxLink(exchange, address, at, self, self.ledger, self.endpoint)
         return PeerLink(exchange, address, self, self.ledger, self.config.connect_s, self.random)
 
+    def takes_iax(self) -> bool:
+        """Whether new IAX2 calls are taken: by the active router of a pair, until it stops."""
+        active = self.pair is None or self.pair.machine.state is vrrp.State.ACTIVE
+        return active and not self.callers.closing
+
+    async def start_iax(self, iax: IaxConfig) -> None:
+        await self.loop.create_datagram_endpoint(lambda: self.endpoint, local_addr=iax.listen)
+        if iax.pair is not None:
+            machine = vrrp.Machine(iax.pair.parameters, iax.pair.listen)
+            pair = self.pair = vrrp.Endpoint(machine, iax.pair.peer, now_us)
+            await self.loop.create_datagram_endpoint(lambda: pair, local_addr=iax.pair.listen)
+
     async def run(self) -> None:
         if self.iax is not None:
-            await self.loop.create_datagram_endpoint(lambda: self.endpoint, local_addr=self.iax.listen)
+            await self.start_iax(self.iax)
         for change in self.config.known:
             self.changes.seq = change.seq
             self.tell(change)
@@ -173,6 +214,8 @@
         """Takes calls a little longer, answers them all, and lets those that stand come to their end."""
         log.info("stopping", extra={"owed": self.ledger.owed(), "calls": len(self.ledger.records)})
         self.callers.closing = True
+        if self.pair is not None:
+            self.pair.stop()  # the other one takes over at once
         await asyncio.sleep(ACCEPT_S)
         server.close()
         longest = max(kind.deadline_ns for kind in self.config.settings.classes) / 1e9
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -144,15 +144,17 @@
             async with asyncio.timeout(self.connect_s):
                 await loop.create_connection(lambda: Connection(self), *self.address)
         except OSError as error:  # a timeout is one too
-            refused = isinstance(error, ConnectionRefusedError)
-            log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
             self.task = None
-            if refused:  # proves that nothing runs there
-                self.inbox.post(SwitchDown(self.exchange))
-            for attempt in self.waiting.values():
-                self.over(attempt, api.Outcome.UNREACHED)
-            self.waiting.clear()
-            self.retry_later()
+            self.failed(refused=isinstance(error, ConnectionRefusedError))
+
+    def failed(self, refused: bool) -> None:
+        log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
+        if refused:  # proves that nothing runs there
+            self.inbox.post(SwitchDown(self.exchange))
+        for attempt in self.waiting.values():
+            self.over(attempt, api.Outcome.UNREACHED)
+        self.waiting.clear()
+        self.retry_later()
 
     def connected(self, connection: Connection) -> None:
         self.task = None
--- /dev/null
+++ b/rowanmast/vrrp.py
@@ -0,0 +1,203 @@
+"""VRRP (RFC 9568) for a pair of routers: which of them takes new IAX2 calls.
+
+The state machine is pure; its adverts, in the RFC's form for IPv4, are carried over UDP. Times are
+microseconds, intervals on the wire centiseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from ipaddress import IPv4Address
+from typing import cast
+
+CENTISECOND = 10_000
+OWNER = 255  # priority of the router that owns the address
+LEAVING = 0  # priority of an Active router's last word
+HEADER = struct.Struct("!BBBBHH")
+VERSION_TYPE = 0x31  # version 3, advertisement
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+
+
+class AdvertError(ValueError):
+    """The datagram is no VRRP advertisement that we take."""
+
+
+@dataclass(frozen=True, slots=True)
+class Advert:
+    vrid: int
+    priority: int
+    interval: int  # centiseconds
+    address: str  # the virtual address
+
+
+def checksum(data: bytes) -> int:
+    """RFC 1071, over the message alone as RFC 9568 has it for IPv4."""
+    total: int = sum(struct.unpack(f"!{len(data) // 2}H", data))
+    while total >> 16:
+        total = (total & 0xFFFF) + (total >> 16)
+    return ~total & 0xFFFF
+
+
+def write(advert: Advert) -> bytes:
+    address = IPv4Address(advert.address).packed
+    fields = (VERSION_TYPE, advert.vrid, advert.priority, 1, advert.interval)
+    bare = HEADER.pack(*fields, 0) + address
+    return HEADER.pack(*fields, checksum(bare)) + address
+
+
+def read(data: bytes) -> Advert:
+    if len(data) < HEADER.size:
+        raise AdvertError("shorter than a header")
+    version_type, vrid, priority, count, interval, _ = HEADER.unpack_from(data)
+    if version_type != VERSION_TYPE:
+        raise AdvertError("no advertisement of version 3")
+    if count == 0 or len(data) != HEADER.size + 4 * count:
+        raise AdvertError("length and number of addresses differ")
+    if checksum(data):
+        raise AdvertError("the checksum is wrong")
+    address = IPv4Address(data[HEADER.size : HEADER.size + 4])
+    return Advert(vrid, priority, interval & 0x0FFF, str(address))
+
+
+class State(Enum):
+    INITIALIZE = "initialize"
+    BACKUP = "backup"
+    ACTIVE = "active"
+
+
+@dataclass(frozen=True, slots=True)
+class Parameters:
+    vrid: int
+    priority: int
+    address: str  # the virtual address
+    interval: int = 100  # centiseconds
+    preempt: bool = True
+
+
+class Machine:
+    """The states of RFC 9568, section 6.4. What it sends is left in `outbox`."""
+
+    def __init__(self, parameters: Parameters, primary: Address) -> None:
+        self.parameters = parameters
+        self.primary = rank(primary)
+        self.state = State.INITIALIZE
+        self.active_interval = parameters.interval  # of the Active router, as its adverts say
+        self.due: int | None = None  # Adver_Timer when active, Active_Down_Timer when backup
+        self.outbox: list[Advert] = []
+
+    def startup(self, now: int) -> None:
+        if self.parameters.priority == OWNER:
+            self.become_active(now)
+        else:
+            self.active_interval = self.parameters.interval
+            self.become_backup(now)
+
+    def shutdown(self) -> None:
+        if self.state is State.ACTIVE:
+            self.send(LEAVING)
+        self.state, self.due = State.INITIALIZE, None
+
+    def expire(self, now: int) -> None:
+        if self.due is not None and now >= self.due:
+            self.become_active(now)  # or stay so, and say it again
+
+    def receive(self, now: int, advert: Advert, sender: Address) -> None:
+        if advert.vrid != self.parameters.vrid or self.state is State.INITIALIZE:
+            return
+        own = self.parameters.priority
+        if self.state is State.BACKUP:
+            if advert.priority == LEAVING:
+                self.due = now + self.skew()
+            elif not self.parameters.preempt or advert.priority >= own:
+                self.follow(now, advert)
+        elif advert.priority == LEAVING or (advert.priority, rank(sender)) < (own, self.primary):
+            self.become_active(now)  # asserts it at once
+        else:
+            self.follow(now, advert)
+
+    def become_active(self, now: int) -> None:
+        self.state = State.ACTIVE
+        self.send(self.parameters.priority)
+        self.due = now + self.parameters.interval * CENTISECOND
+
+    def follow(self, now: int, advert: Advert) -> None:
+        self.active_interval = advert.interval or self.parameters.interval
+        self.become_backup(now)
+
+    def become_backup(self, now: int) -> None:
+        self.state = State.BACKUP
+        self.due = now + 3 * self.active_interval * CENTISECOND + self.skew()
+
+    def skew(self) -> int:
+        return (256 - self.parameters.priority) * self.active_interval * CENTISECOND // 256
+
+    def send(self, priority: int) -> None:
+        own = self.parameters
+        self.outbox.append(Advert(own.vrid, priority, own.interval, own.address))
+
+
+def rank(address: Address) -> tuple[int, int]:
+    """Of two routers of one priority, the one with the higher address stays active."""
+    return int(IPv4Address(address[0])), address[1]
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    """Carries the machine's adverts to the one peer, and minds its timer."""
+
+    def __init__(self, machine: Machine, peer: Address, clock: Callable[[], int]) -> None:
+        self.machine = machine
+        self.peer = peer
+        self.clock = clock
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+        self.machine.startup(self.clock())
+        self.settle(State.INITIALIZE)
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        before = self.machine.state
+        try:
+            self.machine.receive(self.clock(), read(data), address)
+        except AdvertError as error:
+            log.warning("bad_advert", extra={"why": error})
+        self.settle(before)
+
+    def error_received(self, exc: Exception) -> None:
+        log.info("vrrp_socket", extra={"why": exc})
+
+    def expired(self) -> None:
+        before = self.machine.state
+        self.machine.expire(self.clock())
+        self.settle(before)
+
+    def stop(self) -> None:
+        before = self.machine.state
+        self.machine.shutdown()
+        self.settle(before)
+        if self.transport is not None:
+            self.transport.close()
+
+    def settle(self, before: State) -> None:
+        """Sends what the machine left to send, and arms the timer anew."""
+        if self.machine.state is not before:
+            log.info("vrrp", extra={"state": self.machine.state.value})
+        outbox, self.machine.outbox = self.machine.outbox, []
+        for advert in outbox:
+            if self.transport is not None:
+                self.transport.sendto(write(advert), self.peer)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.machine.due is not None:
+            wait = max(self.machine.due - self.clock(), 0) / 1e6
+            self.timer = asyncio.get_running_loop().call_later(wait, self.expired)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -13,7 +13,7 @@
 from conftest import SETTINGS, entry
 
 from rowanmast import interface as api
-from rowanmast.__main__ import Config, IaxConfig, Router
+from rowanmast.__main__ import Config, IaxConfig, PairConfig, Router
 from rowanmast.core.ports import Attempt, Failure, Input, Offer, Route
 from rowanmast.iax2 import frames
 from rowanmast.iax2.endpoint import Endpoint, Leg
@@ -505,6 +505,7 @@
         self.sip_port, self.iax_port, self.log_port, *self.spare = ports(7)
         self.changes = ChangeLogServer(self.log_port)
         self.switches: list[JsonSwitch | IaxSwitch] = []
+        self.pair: PairConfig | None = None
 
     def json_switch(self, name: str, number: int, **more: Any) -> JsonSwitch:
         self.switches.append(JsonSwitch(name, number, self.spare.pop(), self.watch, **more))
@@ -532,7 +533,8 @@
             connect_s=0.5,
         )
         loop = asyncio.get_running_loop()
-        self.router = Router(config, IaxConfig(("127.0.0.1", self.iax_port), listed), Reader(), loop)
+        iax = IaxConfig(("127.0.0.1", self.iax_port), listed, self.pair)
+        self.router = Router(config, iax, Reader(), loop)
         self.running = loop.create_task(self.router.run())
         await eventually(lambda: all(one.name in self.router.ledger.listed for one in self.switches))
         await eventually(lambda: all(getattr(link, "connection", 1) for link in self.router.peers.values()))
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -19,9 +19,13 @@
     eventually,
     host,
     new_elements,
+    ports,
 )
 
+from rowanmast.__main__ import PairConfig
 from rowanmast.iax2.frames import FrameType, Iax
+from rowanmast.net.turn import now_us
+from rowanmast.vrrp import Advert, Parameters
 
 KINDS = {"sip": SipCaller, "iax": IaxCaller}
 
@@ -282,3 +286,44 @@
                 assert rejected.is_iax(Iax.REJECT) and rejected.elements[-1] == (0x2A, b"\x60")
 
     run(test)
+
+
+def test_of_a_pair_only_the_active_router_takes_new_iax2_calls() -> None:
+    async def test() -> None:
+        first, second = ports(2)
+        towns = []
+        for listen, peer, priority in ((first, second, 200), (second, first, 100)):
+            town = Town()
+            town.json_switch("s1", 1).hold_s = 60
+            here, there = ("127.0.0.1", listen), ("127.0.0.1", peer)
+            town.pair = PairConfig(here, there, Parameters(7, priority, "127.0.0.9", interval=5))
+            towns.append(town)
+        async with towns[1]:
+            callers = []
+            async with towns[0]:
+                await eventually(towns[0].router.takes_iax)
+                await asyncio.sleep(0.2)
+                callers = [await caller_of(town, "iax") for town in towns]
+                for caller in callers:
+                    caller.dial("71")
+                assert (await callers[0].answer("71"))[0] == "answer"
+                assert await callers[1].answer("71") == ("41", "backup router, come back after 1 s")
+                # a better router comes up: this one turns backup, and its call goes on to its end
+                towns[0].router.pair.machine.receive(
+                    now_us(), Advert(7, 255, 5, "127.0.0.9"), ("127.0.0.1", 1)
+                )
+                assert not towns[0].router.takes_iax()
+                switch = towns[0].switches[0]
+                assert list(switch.calls.values()) == ["71"]
+                switch.finish(next(iter(switch.calls)))
+                await asyncio.wait_for(callers[0].over["71"].wait(), 2)
+                towns[0].watch.all_answered()
+            await eventually(towns[1].router.takes_iax)  # the first one has ended
+            callers[1].dial("72")
+            assert (await callers[1].answer("72"))[0] == "answer"
+            towns[1].watch.gone("72")
+            hang_up(callers[1], "72")
+            await eventually(lambda: not towns[1].switches[0].calls)
+            towns[1].watch.all_answered()
+
+    run(test)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,176 @@
+"""The program as a process: its start, its configuration, SIGTERM, and the change log's ways."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from conftest import START
+from standins import JsonSwitch, SipCaller, Town, Watch, eventually, host, ports
+
+from rowanmast import interface as api
+from rowanmast.net.changelog import ListError, Reader
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
+
+
+def start(tmp_path: Path, config: Any, **env: str) -> subprocess.Popen[str]:
+    path = tmp_path / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return subprocess.Popen(
+        [sys.executable, "-m", "rowanmast"],
+        cwd=ROOT,
+        env={**os.environ, "PROXY_CONFIG": str(path), **env},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@pytest.mark.parametrize(
+    ("config", "words"),
+    [
+        ("{", "Expect|Unexpected|when decoding"),
+        ({**EXAMPLE, "listen": "nowhere"}, "'nowhere' is no address"),
+        ({**EXAMPLE, "settings": {}}, "no classes of call"),
+        ({key: value for key, value in EXAMPLE.items() if key != "seed"}, "'seed' is missing"),
+        (
+            {**EXAMPLE, "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"hosts": [{}]}}]}},
+            "malformed list",
+        ),
+    ],
+)
+def test_a_bad_configuration_ends_with_one_clear_line(tmp_path: Path, config: Any, words: str) -> None:
+    process = start(tmp_path, config)
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 1
+    assert re.fullmatch(rf"rowanmast: .*({words}).*\n", errors)
+
+
+def test_no_configuration_and_a_bad_iax2_file(tmp_path: Path) -> None:
+    process = start(tmp_path, EXAMPLE, ROWANMAST_IAX2=str(tmp_path / "none.json"))
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 1 and errors.count("\n") == 1 and "No such file" in errors
+    process = start(tmp_path, EXAMPLE, PROXY_CONFIG="")
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 1 and errors == "rowanmast: PROXY_CONFIG is not set\n"
+
+
+def test_sigterm_answers_all_that_was_taken_also_just_after(tmp_path: Path) -> None:
+    async def test() -> None:
+        watch = Watch(time.monotonic, 0.2, slack_s=0.07)
+        listen, log, at = ports(3)
+        switch = JsonSwitch("s1", 1, at, watch)
+        switch.hold_s = 0.2
+        await switch.start()
+        document = {"seq": 1, "results": [{"seq": 1, "fleet": {"whole": True, "hosts": [host("s1", 1, at)]}}]}
+        config = {
+            **EXAMPLE,
+            "listen": f"127.0.0.1:{listen}",
+            "changelog": f"127.0.0.1:{log}",
+            "known": document,
+        }
+        config["settings"]["services"][0]["name"] = "plain"
+        process = start(tmp_path, config)
+        try:
+            caller = SipCaller(watch, listen)
+            await eventually(lambda: hasattr(switch, "transport"), 10)
+            await caller.start()
+            caller.dial("71")
+            await caller.answer("71")
+            switch.answers = False
+            caller.dial("72", left_s=1.5)
+            await eventually(lambda: switch.taken == 2)
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            switch.answers = True
+            switch.stand("sip72", "sdp 72")
+            assert (await caller.answer("72"))[0] == "answer"
+            late = SipCaller(watch, listen)  # callers still come for a little while
+            await late.start()
+            late.dial("73")
+            assert (await late.answer("73"))[0] == "answer"
+            await eventually(lambda: process.poll() is not None, 6)
+        finally:
+            process.kill()
+        errors = process.communicate()[1]
+        assert process.returncode == 0
+        assert "event=stopped owed=0" in errors and "level=error" not in errors
+        assert all(re.match(r"time=\S+ level=\w+ part=\S+ event=\S+", line) for line in errors.splitlines())
+        watch.all_answered()
+        switch.stop()
+
+    uvloop.run(test())
+
+
+def test_changes_come_as_they_are_made_and_after_a_break() -> None:
+    async def test() -> None:
+        town = Town()
+        old = town.json_switch("s1", 1)
+        new = JsonSwitch("s2", 2, old.port, town.watch)
+        async with town:
+            ledger = town.router.ledger
+            town.changes.transport.abort()
+            town.changes.add(False, host("s1", 1, old.port, "draining"))
+            await eventually(lambda: ledger.listed["s1"].state is api.State.DRAINING)
+            old.stop()  # a new machine takes the address of the one that is gone
+            await new.start()
+            town.changes.add(False, host("s1", 1, old.port, "gone"), host("s2", 2, old.port))
+            await eventually(lambda: ledger.is_up("s2") and hasattr(new, "transport"))
+            caller = SipCaller(town.watch, town.sip_port)
+            await caller.start()
+            caller.dial("71", route="dest:2;width:1")
+            assert (await caller.answer("71"))[0] == "answer"
+            assert new.taken == 1
+            town.changes.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{")  # not JSON
+            await asyncio.sleep(0.3)
+            town.changes.add(False, host("s2", 2, old.port, "draining"))
+            await eventually(lambda: not ledger.is_up("s2"))
+            await asyncio.wait_for(caller.over["71"].wait(), 5)
+            new.stop()
+
+    uvloop.run(test())
+
+
+def test_a_refused_connect_proves_that_nothing_ran_and_cuts_what_stood() -> None:
+    async def test() -> None:
+        town = Town()
+        first, second = town.json_switch("s1", 1), town.json_switch("s2", 2)
+        first.hold_s = 60
+        async with town:
+            caller = SipCaller(town.watch, town.sip_port)
+            await caller.start()
+            caller.dial("71")
+            await caller.answer("71")
+            town.watch.released_by_switch("71")
+            first.stop()  # the process dies: its connection is reset, its calls are cut
+            await asyncio.wait_for(caller.over["71"].wait(), 1)
+            caller.dial("72", left_s=2.0)
+            assert (await caller.answer("72"))[0] == "answer" and second.taken == 1
+            await asyncio.wait_for(caller.over["72"].wait(), 5)
+            town.watch.all_answered()
+
+    uvloop.run(test())
+
+
+def test_lists_are_read_and_times_are_mapped_once() -> None:
+    reader = Reader()
+    reader.offset_ns = START - 5_000_000_000
+    entry = {**host("s1", 1, 9), "born_ms": 5_000}
+    change = reader.read_change({"seq": 4, "fleet": {"whole": True, "hosts": [entry]}})
+    assert change.listed.entries == (api.ListEntry("s1", 1, "east", api.State.UP, START),)
+    assert change.addresses == {"s1": ("127.0.0.1", 9)}
+    assert reader.read_change({"seq": 5}).listed == api.ExchangeList(api.ListKind.CHANGES, ())
+    for odd in ({**entry, "health": "odd"}, {**entry, "dial": "odd"}, {"host": "s1"}):
+        with pytest.raises(ListError):
+            reader.read({"results": [{"seq": 1, "fleet": {"hosts": [odd]}}]})
