--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -31,6 +31,7 @@
 
 RELEASE_MARGIN_US = 50_000
 ACCEPT_S = 0.7  # after SIGTERM, callers still come for this long
+KILL_MARGIN_S = 1.0  # before SIGKILL may come, the calls that still stand are released
 SETTLE_S = 0.05  # time for the last bytes to leave
 
 log = logging.getLogger("rowanmast")
@@ -147,7 +148,7 @@
         agent = CallAgent(with_margin(config.settings, RELEASE_MARGIN_US), config.seed)
         self.ledger = Ledger(config.settings, config.classes, agent, self.links)
         self.turn = Turn(loop, self.ledger)
-        self.callers = callers.Callers(self, config.sockets // 2)
+        self.callers = callers.Callers(self, config.sockets // 2, now_us)
         self.changes = ChangeLog(config.changelog, reader, 0, self.tell, self.random)
         self.peers: dict[str, PeerLink | IaxLink] = {}
         self.iax_front = IaxFront(self, self.random, self.takes_iax)
@@ -219,10 +220,12 @@
         await asyncio.sleep(ACCEPT_S)
         server.close()
         longest = max(kind.deadline_ns for kind in self.config.settings.classes) / 1e9
-        end = self.loop.time() + longest
+        end = self.loop.time() + longest - KILL_MARGIN_S
         while self.ledger.records and self.loop.time() < end:
             await asyncio.sleep(0.02)
         self.ledger.release_all()
+        while self.ledger.owed():
+            await asyncio.sleep(0.02)
         await asyncio.sleep(SETTLE_S)
         log.info("stopped", extra={"owed": self.ledger.owed()})
 
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -8,8 +8,9 @@
 
 import heapq
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from rowanmast import interface as api
 from rowanmast.causes import NORMAL_CLEARING, TEMPORARY_FAILURE
@@ -32,6 +33,9 @@
 NS = 1000  # nanoseconds in a microsecond: the module counts in them
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
+Item = TypeVar("Item")
+Result = TypeVar("Result")
+
 log = logging.getLogger(__name__)
 
 
@@ -72,12 +76,15 @@
     def turn(self, now: int, inputs: Iterable[Input]) -> None:
         self.now = now
         for item in inputs:
-            self.take(item)
+            self.shielded(self.take, item)
         self.expire()
         while self.events:
             batch, self.events = self.events, []
-            for action in self.decide(batch):
-                self.carry_out(action)
+            actions: list[api.Action] = []
+            for event in batch:
+                actions += self.shielded(self.decide, event) or []
+            for action in actions:
+                self.shielded(self.carry_out, action)
         for call in self.over:
             self.records.pop(call, None)
         self.over.clear()
@@ -144,6 +151,19 @@
         self.serial += 1
         heapq.heappush(self.dues, (due, self.serial, item))
 
+    def shielded(self, step: Callable[[Item], Result], item: Item) -> Result | None:
+        """Keeps an exception to the one call that it arose in: that one fails, and the rest goes on."""
+        try:
+            return step(item)
+        except Exception:
+            call = getattr(item, "call", "")
+            log.exception("call_fault", extra={"what": type(item).__name__, "call": call})
+            record = self.records.get(call)
+            if record is not None and not record.answered:
+                self.events.append(api.HungUp(call))
+                self.finish(record, Failure.FAULT)
+            return None
+
     # What fronts say
 
     def on_offer(self, offer: Offer) -> None:
@@ -299,17 +319,8 @@
 
     # The module
 
-    def decide(self, batch: list[api.Event]) -> list[api.Action]:
-        actions: list[api.Action] = []
-        for event in batch:
-            try:
-                actions += self.agent.handle(self.now * NS, event)
-            except Exception:
-                log.exception("module_fault", extra={"event": type(event).__name__})
-                record = self.records.get(getattr(event, "call", ""))
-                if record is not None and not record.answered:
-                    self.finish(record, Failure.FAULT)
-        return actions
+    def decide(self, event: api.Event) -> list[api.Action]:
+        return self.agent.handle(self.now * NS, event)
 
     def carry_out(self, action: api.Action) -> None:
         match action:
--- a/rowanmast/iax2/front.py
+++ b/rowanmast/iax2/front.py
@@ -38,7 +38,9 @@
     # The port
 
     def answer(self, call: str, text: str) -> None:
-        leg = self.calls[call]
+        leg = self.calls.get(call)
+        if leg is None:
+            return  # the caller hung up in this same turn, and the ledger hears of it next
         if len(text.encode("utf-8", "surrogatepass")) > MAX_DESCRIPTION:
             log.warning("description_too_long", extra={"call": call})
             self.inbox.post(Released(call, causes.INTERWORKING))
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -5,29 +5,41 @@
 import asyncio
 import logging
 import math
-from dataclasses import replace
-from typing import cast
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from rowanmast.causes import NORMAL_CLEARING
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
 from rowanmast.net import sip
+from rowanmast.net.stream import Stream
 from rowanmast.routes import read_route
 
 MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
+BYE_KEPT_US = 10_000_000  # a BYE that nobody answers is forgotten after this long
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
 
 log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class Bye:
+    """A release that a caller has to hear."""
+
+    cause: int
+    begun: int
+    sent_on: Connection | None = None
+
+
 class Callers:
     """All callers' connections, the set-ups open on them and the releases that they still have to hear."""
 
-    def __init__(self, inbox: Inbox, most: int) -> None:
+    def __init__(self, inbox: Inbox, most: int, clock: Callable[[], int]) -> None:
         self.inbox = inbox
+        self.clock = clock
         self.most = most  # connections, so that descriptors are left for the switches
         self.connections: dict[Connection, None] = {}
         self.open: dict[str, tuple[Connection, sip.Message]] = {}
-        self.byes: dict[str, tuple[Connection | None, int]] = {}  # not heard yet: where last sent, cause
+        self.byes: dict[str, Bye] = {}  # that no caller has answered yet
         self.closing = False
 
     # The port
@@ -44,10 +56,21 @@
 
     def release(self, call: str, cause: int) -> None:
         """Any connection will do, since a call that stands belongs to none."""
+        now = self.clock()
+        for old in [old for old, bye in self.byes.items() if now - bye.begun > BYE_KEPT_US]:
+            del self.byes[old]  # an answer to a BYE is not owed
+        self.byes[call] = Bye(cause, now)
+        self.send_byes()
+
+    def send_byes(self) -> None:
+        """Sends each BYE that has not left on a connection that is still open."""
         connection = next(iter(self.connections), None)
-        self.byes[call] = (connection, cause)
-        if connection is not None:
-            connection.write(sip.bye(call, cause))
+        if connection is None:
+            return
+        for call, bye in self.byes.items():
+            if bye.sent_on is None:
+                bye.sent_on = connection
+                connection.write(sip.bye(call, bye.cause))
 
     def respond(
         self, call: str, status: int, headers: tuple[tuple[str, str], ...] = (), body: bytes = b""
@@ -68,10 +91,7 @@
             if idle is connection:
                 return
         self.connections[connection] = None
-        for call, (sent_on, cause) in list(self.byes.items()):
-            if sent_on is None:
-                self.byes[call] = (connection, cause)
-                connection.write(sip.bye(call, cause))
+        self.send_byes()
 
     def lost(self, connection: Connection) -> None:
         """Gives up the set-ups open on it, and sends anew the releases that it may not have delivered."""
@@ -80,9 +100,10 @@
             del self.open[call]
             self.inbox.post(Cancelled(call))
         connection.set_ups.clear()
-        for call, (sent_on, cause) in list(self.byes.items()):
-            if sent_on is connection:
-                self.release(call, cause)
+        for bye in self.byes.values():
+            if bye.sent_on is connection:
+                bye.sent_on = None
+        self.send_byes()
 
     def received(self, connection: Connection, message: sip.Message) -> None:
         if message.status:
@@ -143,43 +164,27 @@
     return int(cause) if cause.isascii() and cause.isdigit() else NORMAL_CLEARING
 
 
-class Connection(asyncio.Protocol):
+class Connection(Stream):
     """One caller's connection."""
 
     def __init__(self, callers: Callers) -> None:
+        super().__init__("caller", MAX_UNREAD)
         self.callers = callers
         self.parser = sip.Parser()
         self.set_ups: set[str] = set()
-        self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.transport.set_write_buffer_limits(high=MAX_UNREAD)
+        super().connection_made(transport)
         self.callers.connected(self)
 
     def data_received(self, data: bytes) -> None:
         try:
             messages = self.parser.feed(data)
         except sip.SipError as error:
-            log.warning("bad_sip", extra={"why": error})
-            self.close()
+            self.unreadable(error)
             return
         for message in messages:
             self.callers.received(self, message)
 
-    def pause_writing(self) -> None:
-        """A caller that does not read: its connection is given up before it costs more memory."""
-        log.warning("slow_caller")
-        if self.transport is not None:
-            self.transport.abort()
-
     def connection_lost(self, exc: Exception | None) -> None:
         self.callers.lost(self)
-
-    def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from random import Random
-from typing import cast
 
 from rowanmast import causes
 from rowanmast import interface as api
@@ -19,6 +18,7 @@
     SwitchDown,
 )
 from rowanmast.net import jsonlines
+from rowanmast.net.stream import Stream
 from rowanmast.net.turn import now_us
 
 MAX_UNREAD = 1024 * 1024  # bytes a switch may leave unread before its connection is closed
@@ -201,41 +201,26 @@
             self.connection.close()
 
 
-class Connection(asyncio.Protocol):
+class Connection(Stream):
     """One connection to a switch."""
 
     def __init__(self, link: PeerLink) -> None:
+        super().__init__(link.exchange, MAX_UNREAD)
         self.link = link
         self.parser = jsonlines.Parser()
-        self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.transport.set_write_buffer_limits(high=MAX_UNREAD)
+        super().connection_made(transport)
         self.link.connected(self)
 
     def data_received(self, data: bytes) -> None:
         try:
             lines = self.parser.feed(data)
         except jsonlines.LineError as error:
-            log.warning("bad_line", extra={"exchange": self.link.exchange, "why": error})
-            self.close()
+            self.unreadable(error)
             return
         for line in lines:
             self.link.received(line)
 
-    def pause_writing(self) -> None:
-        log.warning("slow_switch", extra={"exchange": self.link.exchange})
-        if self.transport is not None:
-            self.transport.abort()
-
     def connection_lost(self, exc: Exception | None) -> None:
         self.link.lost(self)
-
-    def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,7 @@
 
 from rowanmast.core.ports import Cancelled, Failure, Offer, Released
 from rowanmast.net import sip
-from rowanmast.net.callers import Callers, Connection
+from rowanmast.net.callers import BYE_KEPT_US, Callers, Connection
 
 ROUTE = "dest:2;width:1;via:-1"
 
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         self.inbox = Inbox()
-        self.callers = Callers(self.inbox, most=3)
+        self.callers = Callers(self.inbox, most=3, clock=lambda: 0)
         self.lines: list[FakeTransport] = []
         self.open: dict[str, FakeTransport] = {}  # set-ups that are owed an answer, by their connection
         self.standing: set[str] = set()
@@ -109,9 +109,12 @@
     model.step("hear", 0)
 
 
+now = [0]
+
+
 def connected() -> tuple[Callers, Inbox, FakeTransport]:
     inbox = Inbox()
-    callers = Callers(inbox, most=2)
+    callers = Callers(inbox, most=2, clock=lambda: now[0])
     return callers, inbox, FakeTransport(Connection(callers))
 
 
@@ -173,3 +176,14 @@
     line.protocol.data_received(invite("a"))
     line.protocol.pause_writing()
     assert line.closed and isinstance(inbox.take()[-1], Cancelled)
+
+
+def test_byes_that_nobody_answers_are_forgotten() -> None:
+    callers, _, line = connected()
+    callers.release("a", 16)
+    now[0] += BYE_KEPT_US + 1
+    callers.release("b", 16)
+    assert list(callers.byes) == ["b"]
+    line.close()
+    again = FakeTransport(Connection(callers))
+    assert [message.call_id for message in sip.Parser().feed(again.take())] == ["b"]
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -207,3 +207,17 @@
     assert model.ledger.may_leave(attempt)
     model.step("list", 0, 1)
     assert not model.ledger.may_leave(attempt)
+
+
+def test_an_exception_in_a_link_fails_that_call_alone() -> None:
+    model = Model()
+
+    def broken(attempt: object) -> None:
+        raise OSError("odd")
+
+    model.links["x1"].set_up = broken  # type: ignore[method-assign, assignment]
+    model.links["x1"].call_off = lambda call: None  # type: ignore[method-assign]
+    model.step("offer", 0, 400)
+    model.step("offer", 1, 400)
+    assert [said[:2] for said in model.front.said] == [("fail", "c1")]
+    assert model.watch.out == {"c2": "x2"}
