--- a/rowanmast/iax2/session.py
+++ b/rowanmast/iax2/session.py
@@ -11,7 +11,7 @@
 from rowanmast.iax2.frames import Elements, Frame, FrameType, Iax
 
 FIRST_WAIT = 250_000  # before a frame that is not acknowledged is sent again; doubles each time
-RETRIES = 4
+RETRIES = 3  # a side that fell silent on a call is so found dead within 6 s, and the call released
 LINGER = 5_000_000  # an ended call still acknowledges repeats, and its number rests, for this long
 PING_EACH = 2_000_000  # a call on which nothing was heard for this long is asked whether it lives
 
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -93,7 +93,7 @@
         line = jsonlines.write("close", call, {}, code=cause)
         if self.connection is not None:
             self.connection.write(line)
-        else:
+        elif not self.closed:
             self.unsent.append(line)
             self.connect()
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -23,7 +24,8 @@
 )
 
 from rowanmast.__main__ import PairConfig
-from rowanmast.iax2.frames import FrameType, Iax
+from rowanmast.core.ports import Answered
+from rowanmast.iax2.frames import Frame, FrameType, Iax
 from rowanmast.net.turn import now_us
 from rowanmast.vrrp import Advert, Parameters
 
@@ -327,3 +329,45 @@
             towns[1].watch.all_answered()
 
     run(test)
+
+
+def test_an_answer_and_the_callers_hangup_in_one_turn_release_the_switch() -> None:
+    # The front had forgotten the call when the answer, heard just before, was to be passed on.
+    async def test() -> None:
+        town = Town()
+        switch = town.json_switch("s1", 1)
+        switch.answers, switch.hold_s = False, 60
+        async with town:
+            caller = await caller_of(town, "iax")
+            caller.dial("71")
+            await eventually(lambda: switch.taken == 1)
+            (call,) = switch.calls
+            town.watch.gone("71")
+            town.router.post(Answered("s1", call, 0, "text"))
+            front = town.router.iax_front
+            front.calls[call].owner.heard(Frame(1, 1, 0, 1, 1, FrameType.IAX, Iax.HANGUP))
+            await eventually(lambda: not switch.calls)
+            assert not front.calls and not town.router.ledger.records
+            town.watch.all_answered()
+
+    run(test)
+
+
+def test_a_call_that_stands_at_sigterm_is_released_before_sigkill_may_come() -> None:
+    async def test() -> None:
+        town = Town()
+        switch = town.json_switch("s1", 1)
+        switch.hold_s = 60
+        caller = None
+        async with town:
+            config = town.router.config
+            short = replace(config.settings.classes[0], deadline_ns=1_500_000_000)
+            town.router.config = replace(config, settings=replace(config.settings, classes=(short,)))
+            caller = await caller_of(town, "sip")
+            caller.dial("71")
+            await caller.answer("71")
+            begun = time.monotonic()
+        assert time.monotonic() - begun < 1.5 + 0.7  # Town has ended the router by now
+        assert caller.over["71"].is_set() and not switch.calls
+
+    run(test)
