Give up silent TCP connections to switches; transit over both kinds of switches tested

A machine that vanishes leaves its connections open; the kernel's repeats back off for minutes, so after a healed cut set-ups would go on timing out.

--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -5,6 +5,14 @@
 import asyncio
 import logging
 from random import Random
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
 
 from rowanmast import causes
 from rowanmast import interface as api
@@ -24,6 +32,14 @@
 MAX_UNREAD = 1024 * 1024  # bytes a switch may leave unread before its connection is closed
 RETRY_S, RETRY_MAX_S = 0.1, 2.0  # pauses between connects while nobody asks for one
 PING = "ping"
+# A machine that vanishes or is cut off leaves its connections open and silent, and the kernel's own repeats
+# back off for minutes, also when it is back. So one that acknowledges nothing for 3 s is given up.
+SILENCE = (
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, 3000),
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, 2),
+    (IPPROTO_TCP, TCP_KEEPINTVL, 1),
+)
 
 log = logging.getLogger(__name__)
 
@@ -211,6 +227,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        socket = transport.get_extra_info("socket")
+        if socket is not None:
+            for level, option, value in SILENCE:
+                socket.setsockopt(level, option, value)
         self.link.connected(self)
 
     def data_received(self, data: bytes) -> None:
--- a/rowanmast/net/sip.py
+++ b/rowanmast/net/sip.py
@@ -7,7 +7,7 @@
 
 MAX_MESSAGE = 16 * 1024
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "c": "content-type"}
-ECHOED = ("via", "from", "to", "call-id", "cseq")
+ECHOED = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
 REASONS = {
     200: "OK",
     400: "Bad Request",
@@ -112,7 +112,7 @@
 
 
 def respond(request: Message, status: int, extra: Iterable[tuple[str, str]] = (), body: bytes = b"") -> bytes:
-    echoed = [(name.title(), value) for name, value in request.headers if name in ECHOED]
+    echoed = [(ECHOED[name], value) for name, value in request.headers if name in ECHOED]
     return write(f"SIP/2.0 {status} {REASONS[status]}", [*echoed, *extra], body)
 
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -14,7 +14,6 @@
     Caller,
     IaxCaller,
     IaxSide,
-    JsonSwitch,
     SipCaller,
     Town,
     eventually,
@@ -157,27 +156,28 @@
     run(test)
 
 
-def test_an_iax2_call_transits_a_sip_speaking_switch() -> None:
-    """Station (IAX2) - router 0 - tandem 2, which hands its router 2 the call over SIP - switch 1 (IAX2)."""
+@pytest.mark.parametrize(("calling", "between"), [("iax", "sip"), ("sip", "iax")])
+def test_a_call_transits_a_switch_of_the_other_kind(calling: str, between: str) -> None:
+    """Station - router 0 - tandem 2 - the tandem's own router 2 - switch 1.
+
+    The station and the last switch speak one wire; towards the tandem, and from it to its router, a call in
+    transit speaks the other: over JSON lines and SIP, or over IAX2 both times.
+    """
 
     async def test() -> None:
         near, far = Town(own=0), Town(own=2)
-        tandem = near.json_switch("s2", 2)
-        near.json_switch("s1", 1, room=0)  # the direct way is full, as the reports will say
-        end = far.iax_switch("s1", 1)
+        tandem = switch_of(near, between, "s2", 2)
+        full = near.json_switch("s1", 1)  # the direct way
+        end = switch_of(far, calling)
         async with near, far:
-            near.changes.add(False)
-            link = near.router.peers["s1"].connection  # type: ignore[union-attr]
-            assert link is not None
-            near.switches[1].write("status", "", {"load": "x0:0;x1:500"})  # type: ignore[union-attr]
-            onward = SipCaller(far.watch, far.sip_port)
-            await onward.start()
+            full.write("status", "", {"load": "x0:0;x1:500"})
+            onward = await caller_of(far, between)
             bridge(tandem, onward)
             await asyncio.sleep(0.05)
-            caller = await caller_of(near, "iax")
+            caller = await caller_of(near, calling)
             caller.dial("71")
             assert await caller.answer("71") == ("answer", "sdp 71 answered")
-            assert end.taken == 1 and tandem.taken == 1
+            assert (full.taken, tandem.taken, end.taken) == (0, 1, 1)
             await asyncio.wait_for(caller.over["71"].wait(), 5)
             near.watch.all_answered()
             far.watch.all_answered()
@@ -185,14 +185,14 @@
     run(test)
 
 
-def bridge(tandem: JsonSwitch, onward: SipCaller) -> None:
+def bridge(tandem: Any, onward: Caller) -> None:
     """Lets a stand-in switch hand its calls on to the router that stands at it."""
     tandem.answers = False
     taken = tandem.offered
 
     def offered(call: Any, key: str, text: str) -> None:
         taken(call, key, text)
-        asyncio.get_running_loop().create_task(hand_on(call, key))
+        tasks.append(asyncio.get_running_loop().create_task(hand_on(call, key)))
 
     async def hand_on(call: Any, key: str) -> None:
         onward.dial(key, route="dest:1;width:1;via:0;transit:1")
@@ -203,7 +203,8 @@
         await onward.over[key].wait()
         tandem.finish(call)
 
-    tandem.offered = offered  # type: ignore[method-assign]
+    tasks: list[asyncio.Task[None]] = []
+    tandem.offered = offered
 
 
 def test_drains_are_kept_by_both_kinds_of_links() -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,6 +20,7 @@
 
 from rowanmast import interface as api
 from rowanmast.net.changelog import ListError, Reader
+from rowanmast.net.peers import SILENCE
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
@@ -163,6 +164,20 @@
     uvloop.run(test())
 
 
+def test_a_silent_connection_to_a_switch_is_given_up_by_the_kernel() -> None:
+    async def test() -> None:
+        town = Town()
+        town.json_switch("s1", 1)
+        async with town:
+            connection = town.router.peers["s1"].connection  # type: ignore[union-attr]
+            assert connection is not None and connection.transport is not None
+            socket = connection.transport.get_extra_info("socket")
+            for level, option, value in SILENCE:
+                assert socket.getsockopt(level, option) == value
+
+    uvloop.run(test())
+
+
 def test_lists_are_read_and_times_are_mapped_once() -> None:
     reader = Reader()
     reader.offset_ns = START - 5_000_000_000
