Release an answer that comes at the deadline; a refused connect proves nothing ran

Ledger.on_answered called off an answer that came in the turn of its deadline, but its link no longer had the set-up, so the switch kept the call. PeerLink.failed told of the dead switch before its waiting set-ups, so those counted as cut (200 ms of waiting) rather than never run. Ledger.expire failed a call that the module was about to refuse in that same turn, and was not shielded. Router.tell left links open that a whole list no longer names.

--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -160,6 +160,10 @@
         self.turn.post(item)
 
     def tell(self, change: Change) -> None:
+        if change.listed.kind is api.ListKind.FULL:
+            named = {entry.exchange for entry in change.listed.entries}
+            for exchange in self.peers.keys() - named:
+                self.peers[exchange].close()
         for entry in change.listed.entries:
             address = change.addresses.get(entry.exchange)
             if entry.number == self.config.settings.own_exchange or address is None:
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -68,6 +68,7 @@
         self.dues: list[tuple[int, int, Due]] = []
         self.serial = 0
         self.events: list[api.Event] = []  # for the module
+        self.overdue: list[Record] = []  # calls past their deadline
         self.over: list[str] = []  # calls to be forgotten when the turn ends
         self.now = 0
 
@@ -78,6 +79,17 @@
         for item in inputs:
             self.shielded(self.take, item)
         self.expire()
+        self.consult()
+        for record in self.overdue:
+            self.shielded(self.end_overdue, record)
+        self.overdue.clear()
+        self.consult()
+        for call in self.over:
+            self.records.pop(call, None)
+        self.over.clear()
+
+    def consult(self) -> None:
+        """Hands the module what has happened, in one go, and carries out what it says."""
         while self.events:
             batch, self.events = self.events, []
             actions: list[api.Action] = []
@@ -85,9 +97,6 @@
                 actions += self.shielded(self.decide, event) or []
             for action in actions:
                 self.shielded(self.carry_out, action)
-        for call in self.over:
-            self.records.pop(call, None)
-        self.over.clear()
 
     def next_due(self) -> int | None:
         return self.dues[0][0] if self.dues else None
@@ -134,18 +143,26 @@
 
     def expire(self) -> None:
         while self.dues and self.dues[0][0] <= self.now:
-            _, _, due = heapq.heappop(self.dues)
-            if isinstance(due, api.TimerDue):
+            self.shielded(self.on_due, heapq.heappop(self.dues)[2])
+
+    def on_due(self, due: Due) -> None:
+        match due:
+            case api.TimerDue():
                 self.events.append(due)
-                continue
-            record = self.records.get(due.offer.call if isinstance(due, Record) else due.call)
-            if isinstance(due, Attempt) and record is not None and record.out is due:
-                self.call_off(record, api.Outcome.TIMED_OUT)
-            elif isinstance(due, Record) and record is due and not record.answered:
-                # The module ends its calls itself; this is the net under it.
-                log.error("late_answer", extra={"call": due.offer.call})
-                self.events.append(api.HungUp(due.offer.call))
-                self.finish(record, Failure.GIVEN_UP)
+            case Attempt():
+                record = self.records.get(due.call)
+                if record is not None and record.out is due:
+                    self.call_off(record, api.Outcome.TIMED_OUT)
+            case Record():
+                self.overdue.append(due)
+
+    def end_overdue(self, record: Record) -> None:
+        """The net under the module, which ends its calls itself, be it in this same turn."""
+        call = record.offer.call
+        if self.records.get(call) is record and not record.answered:
+            log.error("late_answer", extra={"call": call})
+            self.events.append(api.HungUp(call))
+            self.finish(record, Failure.GIVEN_UP)
 
     def at(self, due: int, item: Due) -> None:
         self.serial += 1
@@ -215,8 +232,9 @@
             if standing is None or standing.exchange != item.exchange:  # it crossed our giving up
                 self.links[item.exchange].release(item.call, NORMAL_CLEARING)
             return
-        if self.now >= record.deadline:
-            self.call_off(record, api.Outcome.TIMED_OUT)
+        if self.now >= record.deadline:  # to the switch the call stands already, so it is released there
+            self.links[item.exchange].release(item.call, NORMAL_CLEARING)
+            self.end_attempt(record, api.Outcome.TIMED_OUT, None, NO_REPORT)
             return
         record.out, record.stands = None, out
         delay = (self.now - out.sent) * NS
--- a/rowanmast/iax2/endpoint.py
+++ b/rowanmast/iax2/endpoint.py
@@ -163,7 +163,7 @@
             leg.lose()
         elif frame.is_iax(Iax.NEW) and leg.owner is None and frame is leg.session.first:
             leg.owner = self.invited(leg, frame)
-        elif frame.kind == FrameType.IAX and frame.subclass not in tuple(KNOWN):
+        elif frame.kind == FrameType.IAX and frame.subclass not in KNOWN:
             unknown = ((int(frames.Ie.IAX_UNKNOWN), bytes([frame.subclass])),)
             leg.send(FrameType.IAX, Iax.UNSUPPORT, unknown)
         elif leg.owner is not None:
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -165,11 +165,11 @@
 
     def failed(self, refused: bool) -> None:
         log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
-        if refused:  # proves that nothing runs there
-            self.inbox.post(SwitchDown(self.exchange))
         for attempt in self.waiting.values():
             self.over(attempt, api.Outcome.UNREACHED)
         self.waiting.clear()
+        if refused:  # proves that nothing runs there; told last, as what was waiting never left
+            self.inbox.post(SwitchDown(self.exchange))
         self.retry_later()
 
     def connected(self, connection: Connection) -> None:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -221,3 +221,15 @@
     model.step("offer", 1, 400)
     assert [said[:2] for said in model.front.said] == [("fail", "c1")]
     assert model.watch.out == {"c2": "x2"}
+
+
+def test_an_answer_in_the_turn_of_the_deadline_is_released_at_the_switch() -> None:
+    # Its link no longer had it as a set-up, so calling it off there told the switch nothing.
+    model = Model()
+    model.step("offer", 0, 1)
+    out = model.links["x1"].attempts["c1"]
+    model.now += 30_000
+    model.watch.withdrawn.add("c1")  # by now the caller has given up
+    model.turn(Answered("x1", "c1", out.number, "late"))
+    assert model.links["x1"].said == [("release", "c1")]
+    assert [said[0] for said in model.front.said] == ["refuse"]
