Bound times, causes and IAX2 frame sizes that come from outside

Times are cut to an hour, frames checked before they take a sequence number, causes of more than three digits count as normal clearing, and load figures must be finite.

--- a/rowanmast/iax2/frames.py
+++ b/rowanmast/iax2/frames.py
@@ -111,7 +111,12 @@
 
 
 def cause_elements(code: int, text: str) -> Elements:
-    return (*text_elements(Ie.CAUSE, text), (Ie.CAUSECODE, bytes([code])))
+    return (*text_elements(Ie.CAUSE, text), (Ie.CAUSECODE, bytes([code & 0x7F])))  # Q.850 has 7 bits
+
+
+def fit(elements: Elements) -> bool:
+    """Whether they can go into one frame."""
+    return HEADER.size + sum(2 + len(data) for _, data in elements) <= MAX_FRAME
 
 
 def write_elements(elements: Iterable[tuple[int, bytes]]) -> bytes:
--- a/rowanmast/iax2/front.py
+++ b/rowanmast/iax2/front.py
@@ -19,11 +19,12 @@
     Iax,
     Ie,
     cause_elements,
+    fit,
     text_elements,
 )
 from rowanmast.routes import read_route
 
-MAX_DESCRIPTION = 1000  # bytes that fit into one frame beside the other elements
+MAX_SETUP_MS = 3_600_000  # nobody waits longer, and timers take no time without bounds
 
 log = logging.getLogger(__name__)
 
@@ -41,12 +42,13 @@
         leg = self.calls.get(call)
         if leg is None:
             return  # the caller hung up in this same turn, and the ledger hears of it next
-        if len(text.encode("utf-8", "surrogatepass")) > MAX_DESCRIPTION:
-            log.warning("description_too_long", extra={"call": call})
+        description = text_elements(Ie.DESCRIPTION, text)
+        if not fit(description):
+            log.warning("too_long_for_iax", extra={"call": call})
             self.inbox.post(Released(call, causes.INTERWORKING))
             self.end(call, Iax.HANGUP, causes.INTERWORKING, "description too long for IAX2")
             return
-        leg.send(FrameType.IAX, Iax.ACCEPT, text_elements(Ie.DESCRIPTION, text))
+        leg.send(FrameType.IAX, Iax.ACCEPT, description)
         leg.send(FrameType.CONTROL, Control.ANSWER)
 
     def refuse(self, call: str, stay_away_us: int) -> None:
@@ -90,8 +92,9 @@
         key, klass = frame.text(Ie.CALLED_NUMBER), frame.text(Ie.CALLED_CONTEXT)
         if left_ms is None or not key or not klass:
             raise FrameError("no time to wait, called number or class")
+        left_us = min(left_ms, MAX_SETUP_MS) * 1000
         route = read_route(frame.text(Ie.ROUTE))
-        return Offer(self, call, klass, key, frame.text(Ie.DESCRIPTION), left_ms * 1000, route)
+        return Offer(self, call, klass, key, frame.text(Ie.DESCRIPTION), left_us, route)
 
 
 class Caller:
--- a/rowanmast/iax2/peers.py
+++ b/rowanmast/iax2/peers.py
@@ -18,9 +18,9 @@
     Iax,
     Ie,
     cause_elements,
+    fit,
     text_elements,
 )
-from rowanmast.iax2.front import MAX_DESCRIPTION
 from rowanmast.settings import parse_load
 
 PROBE_S = 1.0
@@ -49,24 +49,20 @@
     # The port
 
     def set_up(self, attempt: Attempt) -> None:
-        if len(attempt.text.encode("utf-8", "surrogatepass")) > MAX_DESCRIPTION:
-            log.warning("description_too_long", extra={"call": attempt.call})
-            self.inbox.post(AttemptOver(self.exchange, attempt.call, attempt.number, api.Outcome.NOT_SENT))
-            return
-        outgoing = Outgoing(self, attempt)
         left_ms = max((attempt.due - self.endpoint.clock()) // 1000, 1)
-        outgoing.leg.send(
-            FrameType.IAX,
-            Iax.NEW,
-            (
-                (Ie.VERSION, VERSION.to_bytes(2)),
-                *text_elements(Ie.CALLED_NUMBER, attempt.key),
-                *text_elements(Ie.CALLED_CONTEXT, attempt.klass),
-                (Ie.SETUP_MS, left_ms.to_bytes(4)),
-                *text_elements(Ie.DESCRIPTION, attempt.text),
-            ),
+        elements = (
+            (int(Ie.VERSION), VERSION.to_bytes(2)),
+            *text_elements(Ie.CALLED_NUMBER, attempt.key),
+            *text_elements(Ie.CALLED_CONTEXT, attempt.klass),
+            (int(Ie.SETUP_MS), left_ms.to_bytes(4)),
+            *text_elements(Ie.DESCRIPTION, attempt.text),
         )
-        self.calls[attempt.call] = outgoing
+        if not fit(elements):
+            log.warning("too_long_for_iax", extra={"call": attempt.call})
+            self.inbox.post(AttemptOver(self.exchange, attempt.call, attempt.number, api.Outcome.NOT_SENT))
+            return
+        outgoing = self.calls[attempt.call] = Outgoing(self, attempt)
+        outgoing.leg.send(FrameType.IAX, Iax.NEW, elements)
 
     def call_off(self, call: str) -> None:
         self.release(call, causes.NORMAL_CLEARING)
--- a/rowanmast/iax2/session.py
+++ b/rowanmast/iax2/session.py
@@ -8,7 +8,7 @@
 
 from dataclasses import replace
 
-from rowanmast.iax2.frames import Elements, Frame, FrameType, Iax
+from rowanmast.iax2.frames import Elements, Frame, FrameError, FrameType, Iax, fit
 
 FIRST_WAIT = 250_000  # before a frame that is not acknowledged is sent again; doubles each time
 RETRIES = 3  # a side that fell silent on a call is so found dead within 6 s, and the call released
@@ -36,6 +36,8 @@
 
     def send(self, now: int, kind: FrameType, subclass: int, elements: Elements = ()) -> None:
         """Sends a frame that is numbered and sent again until it is acknowledged."""
+        if not fit(elements):  # said before it takes a number, or it would be tried for ever
+            raise FrameError("the elements are too long for one frame")
         frame = self.frame(now, kind, subclass, elements)
         self.oseqno = (self.oseqno + 1) & 0xFF
         if not self.unacked:
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -15,6 +15,7 @@
 from rowanmast.routes import read_route
 
 MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
+MAX_SETUP_MS = 3_600_000  # nobody waits longer, and timers take no time without bounds
 BYE_KEPT_US = 10_000_000  # a BYE that nobody answers is forgotten after this long
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
 
@@ -153,7 +154,7 @@
             klass=message.get("x-service"),
             key=message.user,
             text=message.body.decode(),
-            left_us=max(int(left_ms * 1000), 0),
+            left_us=int(min(max(left_ms, 0), MAX_SETUP_MS) * 1000),
             route=replace(route, redialled=message.get("x-redial") == "1"),
         )
 
@@ -161,7 +162,7 @@
 def reason(message: sip.Message) -> int:
     """The Q.850 cause of a BYE; a release without one is normal clearing."""
     cause = message.get("reason").partition("cause=")[2].split(";")[0].strip()
-    return int(cause) if cause.isascii() and cause.isdigit() else NORMAL_CLEARING
+    return int(cause) if cause.isascii() and cause.isdigit() and len(cause) <= 3 else NORMAL_CLEARING
 
 
 class Connection(Stream):
--- a/rowanmast/settings.py
+++ b/rowanmast/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from rowanmast import interface as api
@@ -112,7 +113,9 @@
     for item in load.split(";"):
         name, _, value = item.partition(":")
         try:
-            values[PLATFORM_NAMES.get(name, name)] = float(value)
+            figure = float(value)
         except ValueError:
             continue
+        if math.isfinite(figure):
+            values[PLATFORM_NAMES.get(name, name)] = figure
     return read_report(values)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -187,3 +187,14 @@
     line.close()
     again = FakeTransport(Connection(callers))
     assert [message.call_id for message in sip.Parser().feed(again.take())] == ["b"]
+
+
+def test_times_without_bounds_are_cut_and_odd_causes_are_normal_ones() -> None:
+    # One INVITE with a huge time made every later turn fail, as no timer could be armed.
+    _, inbox, line = connected()
+    line.protocol.data_received(invite("a", left="1e300") + invite("b", left="-5"))
+    line.protocol.data_received(request("BYE", "c", Reason="Q.850;cause=99999"))
+    long, short, released = inbox.take()
+    assert isinstance(long, Offer) and long.left_us == 3_600_000_000
+    assert isinstance(short, Offer) and short.left_us == 0
+    assert released == Released("c", 16)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -95,7 +95,7 @@
 
 def test_a_report_is_read_by_the_names_of_either_side() -> None:
     (line,) = jsonlines.Parser().feed(
-        b'{"msg":"close","sid":"1","attrs":{"load":"x0:12;x1:40;queue:3;util:-1;odd","note":"cpu_full"},"code":34}\n'
+        b'{"msg":"close","sid":"1","attrs":{"load":"x0:12;x1:40;queue:3;util:-1;odd;recent_ms:nan","note":"cpu_full"},"code":34}\n'
     )
     assert line.report == api.Report(free=12, size=40, waiting=3)
     assert line.cause is api.Cause.PROCESSOR_FULL
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -15,6 +15,7 @@
     IaxCaller,
     IaxSide,
     SipCaller,
+    Switch,
     Town,
     eventually,
     host,
@@ -372,3 +373,23 @@
         assert caller.over["71"].is_set() and not switch.calls
 
     run(test)
+
+
+def test_what_is_too_long_for_a_frame_is_refused_and_the_timers_go_on() -> None:
+    async def test() -> None:
+        town = Town()
+        iax = town.iax_switch("s1", 1)
+        plain = town.json_switch("s2", 2)
+        async with town:
+            station, caller = await caller_of(town, "sip"), await caller_of(town, "iax")
+            station.dial("7" * 1500)
+            assert (await station.answer("7" * 1500))[0] == "503" and iax.taken == 0
+            plain.stand = lambda call, text: Switch.stand(plain, call, text * 300)  # type: ignore[method-assign]
+            caller.dial("71", route="dest:2;width:1")
+            assert (await caller.answer("71"))[0] == "127"
+            await eventually(lambda: not plain.calls)
+            caller.dial("72")
+            assert (await caller.answer("72"))[0] == "answer"
+            await asyncio.wait_for(caller.over["72"].wait(), 5)
+
+    run(test)
