--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -19,6 +19,7 @@
 from standins import JsonSwitch, SipCaller, Town, Watch, eventually, host, ports
 
 from rowanmast import interface as api
+from rowanmast.__main__ import ConfigError, read_iax_config
 from rowanmast.net.changelog import ListError, Reader
 from rowanmast.net.peers import SILENCE
 
@@ -67,6 +68,18 @@
     assert process.returncode == 1 and errors == "rowanmast: PROXY_CONFIG is not set\n"
 
 
+def test_the_iax2_example_of_the_deploy_folder_can_be_read(tmp_path: Path) -> None:
+    config = read_iax_config(str(ROOT / "deploy" / "iax2.example.json"))
+    assert config is not None and config.listen == ("127.0.0.1", 4569)
+    assert config.pair is not None and config.pair.parameters.priority == 100
+    assert read_iax_config(None) is None, "off where no file is named"
+    odd = tmp_path / "odd.json"
+    for text in ('{"listen": "x"}', "{}", '{"listen": "127.0.0.1:1", "vrrp": {"vrid": 0}}'):
+        odd.write_text(text)
+        with pytest.raises(ConfigError):
+            read_iax_config(str(odd))
+
+
 def test_sigterm_answers_all_that_was_taken_also_just_after(tmp_path: Path) -> None:
     async def test() -> None:
         watch = Watch(time.monotonic, 0.2, slack_s=0.07)
