Release calls on connections that bring set-ups, and again if unanswered

Ruled out: releases not heard from switches, and slow answers (0.05 s at most).

Now connections that never brought a set-up are kept apart from callers'. A BYE goes to the caller heard last, and to another connection if 250 ms pass without an answer. Strangers are the first to go at the limit, and a connection of which nothing whole comes within 2.5 s, or nothing for 10 s, is closed.

--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -17,6 +17,10 @@
 MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
 MAX_SETUP_MS = 3_600_000  # nobody waits longer, and timers take no time without bounds
 BYE_KEPT_US = 10_000_000  # a BYE that nobody answers is forgotten after this long
+BYE_AGAIN_US = 250_000  # one that is not answered goes out on another connection, at doubling gaps
+FIRST_US = 2_500_000  # a connection that has brought nothing whole by then is closed
+IDLE_US = 10_000_000  # one without a set-up open is closed this long after its last message; callers take 4 s
+SWEEP_S = 0.25
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
 
 log = logging.getLogger(__name__)
@@ -29,6 +33,8 @@
     cause: int
     begun: int
     sent_on: Connection | None = None
+    again_at: int = 0
+    gap: int = BYE_AGAIN_US
 
 
 class Callers:
@@ -38,10 +44,12 @@
         self.inbox = inbox
         self.clock = clock
         self.most = most  # connections, so that descriptors are left for the switches
-        self.connections: dict[Connection, None] = {}
+        self.strangers: dict[Connection, None] = {}  # that brought no set-up yet, oldest first
+        self.known: dict[Connection, None] = {}  # that did, the last to bring one at the end
         self.open: dict[str, tuple[Connection, sip.Message]] = {}
         self.byes: dict[str, Bye] = {}  # that no caller has answered yet
         self.closing = False
+        self.timer: asyncio.TimerHandle | None = None
 
     # The port
 
@@ -56,22 +64,43 @@
         self.respond(call, FAILURES[why])
 
     def release(self, call: str, cause: int) -> None:
-        """Any connection will do, since a call that stands belongs to none."""
+        """Any caller's connection will do, since a call that stands belongs to none."""
+        bye = self.byes[call] = Bye(cause, self.clock())
+        self.send_bye(call, bye)
+        self.wake()
+
+    def send_bye(self, call: str, bye: Bye) -> None:
+        """On the connection that last brought a set-up, or on another one where that gave no answer.
+
+        A connection that brought none may be nobody's who minds calls: it serves only if there is no other.
+        """
+        others = (other for other in (*reversed(self.known), *reversed(self.strangers)))
+        connection = next((other for other in others if other is not bye.sent_on), bye.sent_on)
+        if connection is not None:
+            bye.sent_on = connection
+            bye.again_at = self.clock() + bye.gap
+            bye.gap *= 2
+            connection.write(sip.bye(call, bye.cause))
+
+    def sweep(self) -> None:
+        """Sends again what was not answered, and closes connections of which nothing comes."""
+        self.timer = None
         now = self.clock()
-        for old in [old for old, bye in self.byes.items() if now - bye.begun > BYE_KEPT_US]:
-            del self.byes[old]  # an answer to a BYE is not owed
-        self.byes[call] = Bye(cause, now)
-        self.send_byes()
-
-    def send_byes(self) -> None:
-        """Sends each BYE that has not left on a connection that is still open."""
-        connection = next(iter(self.connections), None)
-        if connection is None:
-            return
-        for call, bye in self.byes.items():
-            if bye.sent_on is None:
-                bye.sent_on = connection
-                connection.write(sip.bye(call, bye.cause))
+        for call, bye in list(self.byes.items()):
+            if now - bye.begun > BYE_KEPT_US:
+                del self.byes[call]  # an answer to a BYE is not owed
+            elif now >= bye.again_at:
+                self.send_bye(call, bye)
+        for connection in [*self.strangers, *self.known]:
+            limit = FIRST_US if connection.heard_at is None else IDLE_US
+            if not connection.set_ups and now - (connection.heard_at or connection.begun) > limit:
+                self.dismiss(connection)
+        if self.byes or self.strangers or self.known:
+            self.wake()
+
+    def wake(self) -> None:
+        if self.timer is None:
+            self.timer = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def respond(
         self, call: str, status: int, headers: tuple[tuple[str, str], ...] = (), body: bytes = b""
@@ -84,27 +113,43 @@
     # Connections
 
     def connected(self, connection: Connection) -> None:
-        if len(self.connections) >= self.most:
-            idle = next((other for other in self.connections if not other.set_ups), connection)
-            log.warning("caller_limit", extra={"connections": len(self.connections)})
-            self.connections.pop(idle, None)
-            idle.close()
-            if idle is connection:
-                return
-        self.connections[connection] = None
-        self.send_byes()
+        connection.begun = self.clock()
+        if len(self.strangers) + len(self.known) >= self.most:
+            log.warning("caller_limit", extra={"connections": self.most})
+            self.dismiss(self.least_needed() or connection)
+        if not connection.closing:
+            self.strangers[connection] = None
+            self.resend_byes(None)
+            self.wake()
+
+    def least_needed(self) -> Connection | None:
+        """The oldest that never brought a set-up, or the one whose last set-up was answered longest ago."""
+        oldest = (*self.strangers, *self.known)
+        return next((connection for connection in oldest if not connection.set_ups), None)
+
+    def dismiss(self, connection: Connection) -> None:
+        self.forget(connection)
+        connection.close()
+
+    def forget(self, connection: Connection) -> None:
+        self.strangers.pop(connection, None)
+        self.known.pop(connection, None)
+        self.resend_byes(connection)
 
     def lost(self, connection: Connection) -> None:
-        """Gives up the set-ups open on it, and sends anew the releases that it may not have delivered."""
-        self.connections.pop(connection, None)
+        """Gives up the set-ups open on it."""
         for call in connection.set_ups:
             del self.open[call]
             self.inbox.post(Cancelled(call))
         connection.set_ups.clear()
-        for bye in self.byes.values():
-            if bye.sent_on is connection:
-                bye.sent_on = None
-        self.send_byes()
+        self.forget(connection)
+
+    def resend_byes(self, sent_on: Connection | None) -> None:
+        """Those that found no connection, or one that may not have delivered them."""
+        for call, bye in self.byes.items():
+            if bye.sent_on is sent_on:
+                bye.sent_on, bye.gap = None, BYE_AGAIN_US
+                self.send_bye(call, bye)
 
     def received(self, connection: Connection, message: sip.Message) -> None:
         if message.status:
@@ -139,6 +184,9 @@
             log.warning("bad_invite", extra={"call": call, "why": error})
             connection.write(sip.respond(message, 400))
             return
+        self.strangers.pop(connection, None)
+        self.known.pop(connection, None)
+        self.known[connection] = None
         self.open[call] = (connection, message)
         connection.set_ups.add(call)
         self.inbox.post(offer)
@@ -173,6 +221,8 @@
         self.callers = callers
         self.parser = sip.Parser()
         self.set_ups: set[str] = set()
+        self.begun = 0
+        self.heard_at: int | None = None  # when the last whole message came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -185,6 +235,7 @@
             self.unreadable(error)
             return
         for message in messages:
+            self.heard_at = self.callers.clock()
             self.callers.received(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/rowanmast/net/stream.py
+++ b/rowanmast/net/stream.py
@@ -31,6 +31,10 @@
         log.warning("unreadable", extra={"other_side": self.other_side, "why": error})
         self.close()
 
+    @property
+    def closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,8 @@
 
 from rowanmast.core.ports import Cancelled, Failure, Offer, Released
 from rowanmast.net import sip
-from rowanmast.net.callers import BYE_KEPT_US, Callers, Connection
+from rowanmast.net.callers import BYE_AGAIN_US, BYE_KEPT_US, FIRST_US, IDLE_US, Connection
+from rowanmast.net.callers import Callers as TimedCallers
 
 ROUTE = "dest:2;width:1;via:-1"
 
@@ -23,6 +24,13 @@
     return request("INVITE", call, body, X_Service="item-lookup", X_Setup_Ms=left, X_Route=route)
 
 
+class Callers(TimedCallers):
+    """Its sweeps are the test's to make."""
+
+    def wake(self) -> None:
+        pass
+
+
 class Model:
     """Callers on several connections, and the core on the other side of the port."""
 
@@ -118,6 +126,10 @@
     return callers, inbox, FakeTransport(Connection(callers))
 
 
+def byes(line: FakeTransport) -> list[str]:
+    return [message.call_id for message in sip.Parser().feed(line.take()) if message.method == "BYE"]
+
+
 def statuses(line: FakeTransport) -> list[int]:
     return [message.status for message in sip.Parser().feed(line.take())]
 
@@ -171,6 +183,55 @@
     assert FakeTransport(Connection(callers)).closed  # all are in use: the new one goes
 
 
+def test_a_crowd_that_says_nothing_displaces_itself_and_no_caller() -> None:
+    callers, _, caller = connected()
+    caller.protocol.data_received(invite("a"))
+    callers.refuse("a", 0)
+    crowd = [FakeTransport(Connection(callers)) for _ in range(5)]
+    assert [line.closed for line in crowd] == [True] * 4 + [False] and not caller.closed
+
+
+def test_connections_of_which_nothing_comes_are_closed_in_time() -> None:
+    callers, _, silent = connected()
+    caller = FakeTransport(Connection(callers))
+    silent.protocol.data_received(b"INVITE sip:half")  # nothing whole
+    caller.protocol.data_received(invite("a"))
+    now[0] += FIRST_US + 1
+    callers.sweep()
+    assert silent.closed and not caller.closed
+    now[0] += IDLE_US
+    callers.sweep()
+    assert not caller.closed, "a set-up is open on it"
+    callers.refuse("a", 0)
+    callers.sweep()
+    assert caller.closed and not callers.known and not callers.strangers
+
+
+def test_a_release_goes_where_set_ups_come_from_and_elsewhere_if_unanswered() -> None:
+    # Every BYE went to the oldest connection, where one that asked once and stayed never answered it.
+    callers, _, stranger = connected()
+    stranger.protocol.data_received(request("OPTIONS", "p"))
+    caller = FakeTransport(Connection(callers))
+    caller.protocol.data_received(invite("a"))
+    stranger.take(), caller.take()
+    callers.release("b", 16)
+    assert (byes(stranger), byes(caller)) == ([], ["b"])
+    callers.sweep()
+    assert (byes(stranger), byes(caller)) == ([], []), "an answer is awaited"
+    now[0] += BYE_AGAIN_US
+    callers.sweep()
+    assert (byes(stranger), byes(caller)) == (["b"], [])
+    caller.protocol.data_received(sip.respond(request_of(sip.bye("b", 16)), 200))
+    now[0] += 4 * BYE_AGAIN_US
+    callers.sweep()
+    assert (byes(stranger), byes(caller)) == ([], [])
+
+
+def request_of(data: bytes) -> sip.Message:
+    (message,) = sip.Parser().feed(data)
+    return message
+
+
 def test_a_caller_that_does_not_read_is_closed() -> None:
     _, inbox, line = connected()
     line.protocol.data_received(invite("a"))
@@ -183,6 +244,7 @@
     callers.release("a", 16)
     now[0] += BYE_KEPT_US + 1
     callers.release("b", 16)
+    callers.sweep()
     assert list(callers.byes) == ["b"]
     line.close()
     again = FakeTransport(Connection(callers))
