Answer set-ups that can't be taken instead of passing them over

Ruled out: silent and half-sent connections, which are closed within 2.5 s, and unreadable ones, which are closed at once.

At fault: `Callers.invited` and `Ledger.on_offer` passed a repeated id over in silence, and the latter left an entry in `Callers.open` when the call stood. Unknown classes went on to the module as -1 and came back as "try again". A width of 0 or a negative time was taken as if it were none, 1e300 as an hour.

Now all of these are answered 400 (REJECT 96 in IAX2); where one connection sends two set-ups under one id, which their senders can't tell apart, it is closed. More than 200 set-ups open on one connection are refused at once.

--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -184,15 +184,17 @@
     # What fronts say
 
     def on_offer(self, offer: Offer) -> None:
-        if offer.call in self.records:
-            log.warning("duplicate_call", extra={"call": offer.call})
+        klass = self.classes.get(offer.klass)
+        if klass is None or offer.call in self.records:
+            log.warning("unfit_call", extra={"call": offer.call, "class": offer.klass})
+            offer.front.fail(offer.call, Failure.UNFIT)
             return
         record = self.records[offer.call] = Record(offer, self.now + offer.left_us)
         self.at(record.deadline, record)
         self.events.append(
             api.Call(
                 call=offer.call,
-                klass=self.classes.get(offer.klass, -1),
+                klass=klass,
                 key=offer.key,
                 tenant=None,
                 remaining_ns=offer.left_us * NS,
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -18,6 +18,7 @@
     GIVEN_UP = "given up"
     CANCELLED = "cancelled"  # the caller took the set-up back
     FAULT = "fault"  # an exception of our own in this call
+    UNFIT = "unfit"  # its class is unknown, or its id that of a call that is there already
 
 
 class Front(Protocol):
--- a/rowanmast/iax2/front.py
+++ b/rowanmast/iax2/front.py
@@ -56,7 +56,8 @@
         self.end(call, Iax.REJECT, causes.CONGESTION, f"no way now, come back after {wait} s")
 
     def fail(self, call: str, why: Failure) -> None:
-        self.end(call, Iax.REJECT, causes.TEMPORARY_FAILURE, f"call failed: {why.value}")
+        cause = causes.MANDATORY_MISSING if why is Failure.UNFIT else causes.TEMPORARY_FAILURE
+        self.end(call, Iax.REJECT, cause, f"call failed: {why.value}")
 
     def release(self, call: str, cause: int) -> None:
         self.end(call, Iax.HANGUP, cause, "released")
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -12,16 +12,17 @@
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
 from rowanmast.net import sip
 from rowanmast.net.stream import Stream
-from rowanmast.routes import read_route
+from rowanmast.routes import figure, read_route
 
 MAX_UNREAD = 256 * 1024  # bytes a caller may leave unread before its connection is closed
 MAX_SETUP_MS = 3_600_000  # nobody waits longer, and timers take no time without bounds
+MAX_SET_UPS = 200  # open on one connection: a caller that floods us is refused before it costs others
 BYE_KEPT_US = 10_000_000  # a BYE that nobody answers is forgotten after this long
 BYE_AGAIN_US = 250_000  # one that is not answered goes out on another connection, at doubling gaps
 FIRST_US = 2_500_000  # a connection that has brought nothing whole by then is closed
 IDLE_US = 10_000_000  # one without a set-up open is closed this long after its last message; callers take 4 s
 SWEEP_S = 0.25
-FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500}
+FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500, Failure.UNFIT: 400}
 
 log = logging.getLogger(__name__)
 
@@ -141,7 +142,8 @@
         return next((connection for connection in oldest if not connection.set_ups), None)
 
     def dismiss(self, connection: Connection) -> None:
-        self.forget(connection)
+        """Nothing more is heard or told there, though the close itself takes effect a turn later."""
+        self.lost(connection)
         connection.close()
 
     def close(self) -> None:
@@ -203,8 +205,11 @@
 
     def invited(self, connection: Connection, message: sip.Message) -> None:
         call = message.call_id
-        if call in self.open:
+        if call in self.open:  # two under one id can't be told apart by those who sent them
             log.warning("duplicate_invite", extra={"call": call})
+            connection.write(sip.respond(message, 400))
+            if self.open[call][0] is connection:
+                self.dismiss(connection)
             return
         try:
             offer = self.read_offer(message)
@@ -212,7 +217,7 @@
             log.warning("bad_invite", extra={"call": call, "why": error})
             connection.write(sip.respond(message, 400))
             return
-        if self.refusing:
+        if self.refusing or len(connection.set_ups) >= MAX_SET_UPS:
             connection.write(sip.respond(message, 503, (("Retry-After", "1"),)))
             return
         self.open[call] = (connection, message)
@@ -221,16 +226,16 @@
 
     def read_offer(self, message: sip.Message) -> Offer:
         route = read_route(message.get("x-route"))
-        left_ms = float(message.get("x-setup-ms"))
-        if not message.call_id or not math.isfinite(left_ms):
-            raise ValueError("no call id or no time to wait")
+        left_ms = figure(message.get("x-setup-ms"))
+        if not (message.call_id and message.user and 0 <= left_ms <= MAX_SETUP_MS):
+            raise ValueError("no call id, no number or no time to wait")
         return Offer(
             front=self,
             call=message.call_id,
             klass=message.get("x-service"),
             key=message.user,
             text=message.body.decode(),
-            left_us=int(min(max(left_ms, 0), MAX_SETUP_MS) * 1000),
+            left_us=left_ms * 1000,
             route=replace(route, redialled=message.get("x-redial") == "1"),
         )
 
@@ -259,6 +264,8 @@
 
     def data_received(self, data: bytes) -> None:
         for message in self.readable(self.parser.feed(data)):
+            if self.closing:
+                break
             self.heard_at = self.callers.clock()
             self.callers.received(self, message)
 
--- a/rowanmast/routes.py
+++ b/rowanmast/routes.py
@@ -5,15 +5,25 @@
 from rowanmast.core.ports import Route
 
 
+def figure(text: str) -> int:
+    """A whole number of up to nine digits; `int` alone also takes 1_000, and digits of any script and length."""
+    digits = text.removeprefix("-")
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= 9):
+        raise ValueError(f"{text[:20]!r} is no figure")
+    return int(text)
+
+
 def read_route(text: str) -> Route:
     figures: dict[str, int] = {}
     for part in filter(None, map(str.strip, text.split(";"))):
         name, colon, value = part.partition(":")
         if not colon:
-            raise ValueError(f"route figure {part!r} has no value")
-        figures[name.strip()] = int(value)
+            raise ValueError(f"route figure {part[:20]!r} has no value")
+        figures[name.strip()] = figure(value.strip())
     if "dest" not in figures:
         raise ValueError("the route names no destination")
+    if figures["dest"] < 0 or figures.get("width", 1) < 1:
+        raise ValueError("destination or width is out of range")
     via = figures.get("via", -1)
     return Route(
         dest=figures["dest"],
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -13,7 +14,16 @@
 from rowanmast import interface as api
 from rowanmast.control import CallAgent
 from rowanmast.core.ledger import Ledger, with_margin
-from rowanmast.core.ports import Answered, AttemptOver, CallOver, Cancelled, Input, Released, SwitchDown
+from rowanmast.core.ports import (
+    Answered,
+    AttemptOver,
+    CallOver,
+    Cancelled,
+    Failure,
+    Input,
+    Released,
+    SwitchDown,
+)
 
 NAMES = ("x1", "x2", "x3")
 
@@ -186,6 +196,15 @@
         assert model.front.said[-1] == ("release", "c1", 41)
 
 
+def test_an_unknown_class_and_an_id_in_use_are_answered_and_touch_no_other_call() -> None:
+    model = stood()
+    other = WatchedFront(Watch(lambda: 0.0, 0.0))
+    other.watch.deadlines = {"c1": 1.0, "c7": 1.0}
+    model.turn(offer(other, "c1"), replace(offer(other, "c7"), klass="plain_x"))
+    assert other.said == [("fail", "c1", Failure.UNFIT), ("fail", "c7", Failure.UNFIT)]
+    assert model.front.said == [("answer", "c1", "text")] and list(model.ledger.records) == ["c1"]
+
+
 def test_an_exception_in_one_call_answers_it_and_no_other() -> None:
     class Odd(CallAgent):
         def on_call(self, call: api.Call) -> None:
