Forget switches and calls that are gone

Ruled out: `CallAgent.seen` and `busy` (two old entries go for each new one), `held` and `owed` (end with the call), `cut_all` (walks the calls that stand, some hundred, when a switch goes).

Now the list, the links and the module drop a switch that is gone; the heap is cleared once most of it may be stale; an IAX2 link that closes hangs up its calls.

--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -63,24 +63,27 @@
 
     def tell(self, change: Change) -> None:
         if change.listed.kind is api.ListKind.FULL:
-            named = {entry.exchange for entry in change.listed.entries}
-            for exchange in self.peers.keys() - named:
-                self.peers[exchange].close()
+            for exchange in self.peers.keys() - {entry.exchange for entry in change.listed.entries}:
+                self.drop(exchange)
         for entry in change.listed.entries:
             address = change.addresses.get(entry.exchange)
-            if entry.number == self.config.settings.own_exchange or address is None:
-                continue
-            known = self.peers.get(entry.exchange)
-            if entry.state is not api.State.GONE and (known is None or known.address != address):
-                if known is not None:
-                    known.close()
-                link = self.make_link(entry.exchange, address)
-                self.links[entry.exchange] = self.peers[entry.exchange] = link
-            elif entry.state is api.State.GONE and known is not None:
-                known.close()
+            if entry.state is api.State.GONE:
+                self.drop(entry.exchange)
+            elif entry.number != self.config.settings.own_exchange and address is not None:
+                known = self.peers.get(entry.exchange)
+                if known is None or known.address != address:
+                    self.drop(entry.exchange)
+                    link = self.make_link(entry.exchange, address)
+                    self.links[entry.exchange] = self.peers[entry.exchange] = link
         log.info("list", extra={"seq": change.seq, "hosts": len(change.listed.entries)})
         self.turn.post(change.listed)
 
+    def drop(self, exchange: str) -> None:
+        self.links.pop(exchange, None)
+        link = self.peers.pop(exchange, None)
+        if link is not None:
+            link.close()
+
     def make_link(self, exchange: str, address: tuple[str, int]) -> PeerLink | IaxLink:
         """The link that speaks the switch's protocol."""
         if self.iax is not None and exchange in self.iax.switches:
--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -271,6 +271,7 @@
             if far.entry.state is State.UP and newer:
                 self.up[far.entry.number] = far
         self.ready = list(self.up.values())
+        self.backs = {way: back for way, back in self.backs.items() if way[0] in self.fars}
         if not self.colds:
             self.budget, self.fed = (self.set.own_agent + 0.5) / max(self.set.agents, 1) % 1.0, self.now
         self.colds = [far for far in self.ready if self.cold(far)]
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -25,12 +25,16 @@
     Failure,
     Input,
     Links,
+    NoLink,
     Offer,
     Released,
     SwitchDown,
+    SwitchLink,
 )
 
 NS = 1000  # nanoseconds in a microsecond: the module counts in them
+GONE = NoLink()
+SPARE_DUES = 64  # entries of the timer heap that may be stale before it is cleared of them
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 Item = TypeVar("Item")
@@ -66,6 +70,7 @@
         self.records: dict[str, Record] = {}
         self.listed: dict[str, api.ListEntry] = {}
         self.dues: list[tuple[int, int, Due]] = []
+        self.kept_dues = 0  # that were left when it was last cleared of stale ones
         self.serial = 0
         self.events: list[api.Event] = []  # for the module
         self.overdue: list[Record] = []  # calls past their deadline
@@ -87,6 +92,8 @@
         for call in self.over:
             self.records.pop(call, None)
         self.over.clear()
+        if len(self.dues) > 2 * self.kept_dues + SPARE_DUES:
+            self.clear_dues()
 
     def consult(self) -> None:
         """Hands the module what has happened, in one go, and carries out what it says."""
@@ -114,7 +121,7 @@
         """Ends every call that stands, on both sides."""
         for record in list(self.records.values()):
             if record.stands is not None:
-                self.links[record.stands.exchange].release(record.offer.call, TEMPORARY_FAILURE)
+                self.link(record.stands.exchange).release(record.offer.call, TEMPORARY_FAILURE)
                 self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
 
     def take(self, item: Input) -> None:
@@ -150,9 +157,8 @@
             case api.TimerDue():
                 self.events.append(due)
             case Attempt():
-                record = self.records.get(due.call)
-                if record is not None and record.out is due:
-                    self.call_off(record, api.Outcome.TIMED_OUT)
+                if self.awaited(due):
+                    self.call_off(self.records[due.call], api.Outcome.TIMED_OUT)
             case Record():
                 self.overdue.append(due)
 
@@ -164,6 +170,25 @@
             self.events.append(api.HungUp(call))
             self.finish(record, Failure.GIVEN_UP)
 
+    def clear_dues(self) -> None:
+        """Drops what nobody waits for any more: a caller may name an hour and be refused at once."""
+        self.dues = [entry for entry in self.dues if self.awaited(entry[2])]
+        heapq.heapify(self.dues)
+        self.kept_dues = len(self.dues)
+
+    def awaited(self, due: Due) -> bool:
+        match due:
+            case Attempt():
+                record = self.records.get(due.call)
+                return record is not None and record.out is due
+            case Record():
+                return not due.answered
+            case _:
+                return True
+
+    def link(self, exchange: str) -> SwitchLink:
+        return self.links.get(exchange, GONE)
+
     def at(self, due: int, item: Due) -> None:
         self.serial += 1
         heapq.heappush(self.dues, (due, self.serial, item))
@@ -212,7 +237,7 @@
         if record is None:
             return
         if record.stands is not None:  # our answer crossed it, so the caller is told that the call is over
-            self.links[record.stands.exchange].release(call, NORMAL_CLEARING)
+            self.link(record.stands.exchange).release(call, NORMAL_CLEARING)
             self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, NORMAL_CLEARING)
         elif not record.answered:
             self.events.append(api.HungUp(call))
@@ -221,7 +246,7 @@
     def on_released(self, item: Released) -> None:
         record = self.records.get(item.call)
         if record is not None and record.stands is not None:
-            self.links[record.stands.exchange].release(item.call, item.cause)
+            self.link(record.stands.exchange).release(item.call, item.cause)
             self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, None)
 
     # What switches say
@@ -232,10 +257,10 @@
         if record is None or out is None or (out.exchange, out.number) != (item.exchange, item.attempt):
             standing = record.stands if record else None
             if standing is None or standing.exchange != item.exchange:  # it crossed our giving up
-                self.links[item.exchange].release(item.call, NORMAL_CLEARING)
+                self.link(item.exchange).release(item.call, NORMAL_CLEARING)
             return
         if self.now >= record.deadline:  # to the switch the call stands already, so it is released there
-            self.links[item.exchange].release(item.call, NORMAL_CLEARING)
+            self.link(item.exchange).release(item.call, NORMAL_CLEARING)
             self.end_attempt(record, api.Outcome.TIMED_OUT, None, NO_REPORT)
             return
         record.out, record.stands = None, out
@@ -255,10 +280,11 @@
         before = self.listed
         self.listed = dict(before) if item.kind is api.ListKind.CHANGES else {}
         self.listed.update((entry.exchange, entry) for entry in item.entries)
-        for exchange in before:
-            entry = self.listed.get(exchange)
-            if entry is None or entry.state is api.State.GONE:
-                self.cut_all(exchange)
+        self.listed = {
+            exchange: entry for exchange, entry in self.listed.items() if entry.state is not api.State.GONE
+        }
+        for exchange in before.keys() - self.listed.keys():
+            self.cut_all(exchange)
 
     def cut_all(self, exchange: str) -> None:
         """A switch is gone, and what stood or was being set up there with it."""
@@ -277,7 +303,7 @@
     def call_off(self, record: Record, outcome: api.Outcome) -> None:
         """Ends the attempt from our side: the switch is told, and then the module."""
         assert record.out is not None
-        self.links[record.out.exchange].call_off(record.offer.call)
+        self.link(record.out.exchange).call_off(record.offer.call)
         self.end_attempt(record, outcome, None, NO_REPORT)
 
     def end_attempt(
@@ -360,7 +386,7 @@
                 self.at(self.now + action.in_ns // NS, api.TimerDue(action.token))
             case api.Probe():
                 if self.is_up(action.exchange):
-                    self.links[action.exchange].probe()
+                    self.link(action.exchange).probe()
             case api.Note():
                 log.info("module_note", extra={"text": action.text})
             case api.Subscribe() | api.AskList():
@@ -390,7 +416,7 @@
             return
         record.out = attempt
         self.at(due, attempt)
-        self.links[action.exchange].set_up(attempt)
+        self.link(action.exchange).set_up(attempt)
 
     def forbidden(self, record: Record, attempt: Attempt) -> str | None:
         """The rule that this set-up would break."""
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -59,6 +59,22 @@
     def probe(self) -> None: ...
 
 
+class NoLink:
+    """In place of the link to a switch that is gone: there is nothing to tell there any more."""
+
+    def set_up(self, attempt: Attempt) -> None:
+        raise LookupError(f"{attempt.exchange} is gone")
+
+    def call_off(self, call: str) -> None:
+        pass
+
+    def release(self, call: str, cause: int) -> None:
+        pass
+
+    def probe(self) -> None:
+        pass
+
+
 Links = Mapping[str, SwitchLink]
 
 
--- a/rowanmast/iax2/peers.py
+++ b/rowanmast/iax2/peers.py
@@ -89,7 +89,9 @@
         timeout = loop.call_later(PROBE_S, silent)
 
     def close(self) -> None:
-        """The switch is gone from the list; what stood there has been released by then."""
+        """The switch is gone from the list."""
+        for call in list(self.calls):
+            self.release(call, causes.TEMPORARY_FAILURE)
 
 
 class Outgoing:
--- a/rowanmast/routes.py
+++ b/rowanmast/routes.py
@@ -6,7 +6,7 @@
 
 
 def figure(text: str) -> int:
-    """A whole number of up to nine digits; `int` alone also takes 1_000, and digits of any script and length."""
+    """A whole number of up to nine digits; `int` alone also takes 1_000 and digits of any script."""
     digits = text.removeprefix("-")
     if not (digits.isascii() and digits.isdigit() and len(digits) <= 9):
         raise ValueError(f"{text[:20]!r} is no figure")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -13,7 +13,7 @@
 
 from rowanmast import interface as api
 from rowanmast.control import CallAgent
-from rowanmast.core.ledger import Ledger, with_margin
+from rowanmast.core.ledger import SPARE_DUES, Ledger, with_margin
 from rowanmast.core.ports import (
     Answered,
     AttemptOver,
@@ -205,6 +205,35 @@
     assert model.front.said == [("answer", "c1", "text")] and list(model.ledger.records) == ["c1"]
 
 
+def test_nothing_is_kept_of_switches_and_calls_that_are_gone() -> None:
+    # Every switch ever listed and every call's deadline stayed, for as long as the caller had named.
+    model, sizes = Model(), []
+    agent = model.ledger.agent
+    model.turn(api.ExchangeList(api.ListKind.CHANGES, (entry(1, api.State.GONE),)))
+    for generation in range(40):
+        name = f"g{generation}"
+        model.links[name] = WatchedLink(name, model.watch)
+        up, gone = (entry(1, state, name=name) for state in (api.State.UP, api.State.GONE))
+        model.turn(api.ExchangeList(api.ListKind.CHANGES, (up,)))
+        for _ in range(20):
+            model.step("offer", 0, 100_000)
+            model.step("offer", 7, 100_000)  # in transit: refused
+            model.step("answer", 0, 0)
+            model.step("over" if generation % 2 else "wait", 0, 20)
+        del model.links[name]
+        model.turn(api.ExchangeList(api.ListKind.CHANGES, (gone,)))
+        for call, record in list(model.ledger.records.items()):
+            at = record.stands
+            model.turn(CallOver(at.exchange, call, api.Outcome.DONE) if at else Cancelled(call))
+        model.watch.standing.clear()
+        model.watch.out.clear()
+        model.pass_time(model.now + US)
+        held = [model.ledger.records, model.ledger.listed, agent.fars, agent.held, agent.backs, agent.ready]
+        sizes.append([len(kept) for kept in held])
+        assert len(model.ledger.dues) <= 2 * SPARE_DUES
+    assert sizes[-1] == sizes[0] == [0, 3, 3, 0, 0, 3]
+
+
 def test_an_exception_in_one_call_answers_it_and_no_other() -> None:
     class Odd(CallAgent):
         def on_call(self, call: api.Call) -> None:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -211,6 +211,7 @@
             caller.dial("71", route="dest:2;width:1")
             assert (await caller.answer("71"))[0] == "answer"
             assert new.taken == 1
+            assert list(town.router.peers) == list(town.router.links) == ["s2"], "the gone are forgotten"
             town.changes.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{")  # not JSON
             await asyncio.sleep(0.3)
             town.changes.add(False, host("s2", 2, old.port, "draining"))
