Leave connections that fall mute, and don't take a lost answer for a late exchange

Checked: a state comes on all connections to a switch alike (663 times on each of four), at most 40 ms apart once those under 50 ms count as the same.

At fault: `PeerLink.call_off`, alone to find a mute connection; `note_lost`, which asked that an overtaking set-up left a whole delay target later, when by then none was let through; `on_stands`, where one delay of a second made a mean of 60 ms late and cut the gate. Now a connection that lacks for 100 ms what another one brings is left; an overtaking set-up need only have left a quickest answer's delay later; a delay counts as at most two limits.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -48,6 +48,7 @@
 AIM_SHARE = 0.25  # delay target as a share of the shortest aim, where nothing is sent again
 WAY = 1.6  # an answer may take this many times the quickest seen: on a long way that takes about as long as
 # the target, and a calm exchange would be late for ever
+OUTLIER = 2  # limits that one delay counts as at most: a lone answer that was held up says little of the rest
 RESERVE = 0.7  # square roots of a group's size kept from calls in transit
 DRAWS = 6  # tandems drawn after a block, of which the one with most free circuits is taken
 CHEAP = 0.5  # worth in means under which a call yields to fresh ones
@@ -492,12 +493,15 @@
     def note_lost(self, far: Far, sent: int) -> None:
         """An exchange works in turn: direct set-ups that left well before one now answered are lost.
 
-        They tell nothing of how late it is, so they are owed no more.
+        They tell nothing of how late it is, so they are owed no more. Well before is more than jitter makes
+        up, for which the quickest answer's delay stands: by the time that a set-up counts as late, others
+        that left after it have told.
         """
+        well_before = min(far.quickest or self.target, self.target)
         lost = far.missed > self.now - LOSING
         far.missed = -LOSING
         for (call, attempt), left in list(far.owed.items()):
-            if left > sent - self.target:
+            if left > sent - well_before:
                 break
             held = self.held.get(call)
             if held is not None and held.call.dest == far.entry.number:
@@ -547,7 +551,7 @@
             if event.delay_ns <= self.target:  # one that has waited tells nothing of the way
                 far.quickest = min(far.quickest or event.delay_ns, event.delay_ns)
             if self.now - event.delay_ns >= self.cut_at:  # earlier ones tell of the time before the cut
-                far.delays += event.delay_ns
+                far.delays += min(event.delay_ns, OUTLIER * self.limit(far))
                 far.answers += 1
             if event.delay_ns > self.limit(far):
                 far.slow_at = self.now
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -33,6 +33,8 @@
 MOST = 4  # connections: one that is spoiled or reset costs the set-ups that are out on it
 STOPPED_S = 0.25  # a line that was begun goes on within this time, or its connection is of no more use
 SILENT_US = 300_000  # so is one on which nothing came for this long while a set-up on it ran out of time
+SAME_US = 50_000  # a state comes on all connections, within this time of each other
+BEHIND_US = 100_000  # one that still lacks what came on another this long ago is of no more use either
 RETRY_S, RETRY_MAX_S = 0.1, 2.0  # pauses between connects while nobody asks for one
 PING = "ping"
 # A machine that vanishes or is cut off leaves its connections open and silent, and the kernel's own repeats
@@ -94,9 +96,7 @@
         attempt = connection.out.pop(call)
         connection.write(jsonlines.write("close", call, {}, code=causes.NORMAL_CLEARING))
         if max(attempt.sent, connection.heard_at) <= now_us() - SILENT_US:
-            log.warning("switch_silent", extra={"exchange": self.exchange, "out": len(connection.out)})
-            self.lost(connection)
-            connection.close()
+            self.leave(connection)
 
     def release(self, call: str, cause: int) -> None:
         line = jsonlines.write("close", call, {}, code=cause)
@@ -135,6 +135,7 @@
                 self.close_heard(connection, line)
             case "status":
                 self.inbox.post(api.Reported(self.exchange, True, 0, line.report))
+                self.compare(connection)
             case "probed":
                 delay = 0 if self.probed_at is None else now_us() - self.probed_at
                 self.inbox.post(api.Reported(self.exchange, line.code == 1, delay * 1000, line.report))
@@ -152,6 +153,25 @@
         self.inbox.post(CallOver(self.exchange, line.sid, outcome, line.report))
         connection.write(jsonlines.write("closed", line.sid, {}))
 
+    def compare(self, told: Connection) -> None:
+        """Finds the connections that do not bring what another one brings.
+
+        Behind an answer that never comes nothing else does, and a set-up out there would wait for its
+        deadline. A switch that is silent on all of them is not judged here.
+        """
+        for other in list(self.connections):
+            if told.heard_at - other.heard_at < SAME_US:
+                other.behind_since = 0
+            elif not other.behind_since:
+                other.behind_since = told.heard_at
+            elif told.heard_at - other.behind_since >= BEHIND_US:
+                self.leave(other)
+
+    def leave(self, connection: Connection) -> None:
+        log.warning("switch_silent", extra={"exchange": self.exchange, "out": len(connection.out)})
+        self.lost(connection)
+        connection.close()
+
     def ended(self, call: str) -> Attempt | None:
         """The set-up that is out no more, if it was."""
         connection = self.out.pop(call, None)
@@ -211,7 +231,7 @@
             del self.out[attempt.call]
             self.over(attempt, api.Outcome.CUT)
         connection.out.clear()
-        if connection.heard_at:
+        if connection.heard_at > connection.begun:
             self.pause = RETRY_S
             self.connect()
         elif self.task is None:  # one that is reset while new, each time, is not asked for without a pause
@@ -245,7 +265,8 @@
         self.link = link
         self.parser = jsonlines.Parser()
         self.out: dict[str, Attempt] = {}
-        self.heard_at = 0
+        self.begun = self.heard_at = now_us()
+        self.behind_since = 0
         self.stopped: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -435,3 +435,31 @@
     desk.at(0, call("b"))
     assert sent_to(desk.at(250 * MS, call("c"))) == ["x1"]
     assert sent_to(desk.at(100 * MS, call("d"))) == []  # past 1.6 times the quickest, it is
+
+
+def test_a_set_up_overtaken_by_a_quicker_one_does_not_shut_its_exchange() -> None:
+    # One answer that never came shut the way for as long as its caller waited, over a second each time.
+    desk = Desk()
+    desk.quick("first")
+    assert sent_to(desk.at(MS, call("lost"))) == ["x1"]
+    desk.at(55 * MS, call("later"))
+    desk.at(50 * MS, Stands("later", 0, "x1", 50 * MS))
+    assert not desk.agent.fars["x1"].owed
+    desk.at(SECOND, HungUp("none"))
+    assert sent_to(desk.at(MS, call("next"))) == ["x1"]
+
+
+def test_one_answer_that_was_held_up_does_not_cut_the_level() -> None:
+    for slow, throttled in ((1, False), (4, True)):
+        desk = Desk()
+        names = [f"slow {number}" for number in range(slow)]
+        for name in names:
+            desk.at(MS, call(name))
+        for number in range(4):
+            desk.quick(f"quick {number}")
+        desk.at(700 * MS, HungUp("none"))
+        for name in names:
+            desk.at(0, Stands(name, 0, "x1", 900 * MS))
+        desk.at(SECOND, HungUp("none"))
+        assert desk.agent.gate is not None
+        assert (desk.agent.gate.level < 100) == throttled
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,7 @@
 from rowanmast import interface as api
 from rowanmast.core.ports import Answered, Attempt, AttemptOver, CallOver, SwitchDown
 from rowanmast.net import jsonlines
-from rowanmast.net.peers import MOST, SILENT_US, Connection, PeerLink
+from rowanmast.net.peers import BEHIND_US, MOST, SAME_US, SILENT_US, Connection, PeerLink
 from rowanmast.net.turn import now_us
 
 
@@ -201,6 +201,22 @@
     assert model.inbox.take() == [AttemptOver("x1", "c2", 0, api.Outcome.CUT)]
 
 
+def test_a_connection_that_lacks_what_another_brings_is_left() -> None:
+    # Set-ups went on to it for more than a second, each until its caller had given up.
+    model = connected()
+    model.step("up", 0)
+    model.step("set_up", 0)
+    model.step("set_up", 0)
+    mute, other = model.lines
+    status = jsonlines.write("status", "", {"load": "x0:1"})
+    for ago, left in ((SAME_US // 2, False), (SAME_US, False), (SAME_US + BEHIND_US, True)):
+        mute.protocol.heard_at = now_us() - ago
+        mute.protocol.behind_since = mute.protocol.behind_since and now_us() - (ago - SAME_US)
+        other.protocol.data_received(status)
+        assert mute.closed == left
+    assert not other.closed and AttemptOver("x1", "c1", 0, api.Outcome.CUT) in model.inbox.take()
+
+
 def test_a_line_that_stops_short_ends_its_connection() -> None:
     async def test() -> None:
         model = connected()
