Keep calls that no way leads to from the gate's count, and bound IAX2 calls

By reading: `Endpoint.find` made a call of every NEW until all numbers were in use. Beyond 4,000 calls a NEW is now answered INVAL.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -314,6 +314,9 @@
         self.held[call.call] = held
         held.worth = self.worth(held)
         assert self.gate is not None
+        if self.set.meshed and (call.dest not in self.up or call.dest == self.set.own_exchange):
+            self.refuse(held)  # no way leads there, so it is no arrival that the gate need count
+            return
         lines = call.transit or self.now >= self.busy.get(call.key, (0, 0))[1]
         let = lines and self.gate.offer(self.now, held.worth) and not self.displaces(held)
         if let and self.own_late() < OWN_LATE * (1 + self.spared()) * held.worth:
--- a/rowanmast/iax2/endpoint.py
+++ b/rowanmast/iax2/endpoint.py
@@ -12,6 +12,7 @@
 from rowanmast.iax2.session import Session
 
 SWEEP_S = 0.02
+MAX_LEGS = 4000  # calls beyond which no new one is taken: each costs memory, also one that is refused
 KNOWN = (Iax.NEW, Iax.HANGUP, Iax.REJECT, Iax.ACCEPT, Iax.UNSUPPORT)
 Address = tuple[str, int]
 
@@ -150,6 +151,8 @@
         if known is not None:  # the other side started anew, or has used all its numbers
             self.remove(known)
             known.lose()
+        if len(self.legs) >= MAX_LEGS:
+            return None
         now = self.clock()
         leg = Leg(self, address, Session(self.free_number(), now, frame.source))
         leg.session.first = frame
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -463,3 +463,18 @@
         desk.at(SECOND, HungUp("none"))
         assert desk.agent.gate is not None
         assert (desk.agent.gate.level < 100) == throttled
+
+
+def test_calls_that_no_way_leads_to_do_not_count_at_the_gate() -> None:
+    # A flood of calls to numbers that no exchange holds used up the rate of those that could be set up.
+    desk = Desk()
+    desk.quick("first")
+    gate = desk.agent.gate
+    assert gate is not None
+    before = gate.count
+    for dest in (0, 99):
+        (refused,) = desk.at(MS, call(f"to {dest}", dest))
+        assert isinstance(refused, TurnAway)
+    assert gate.count == before
+    desk.quick("next")
+    assert gate.count == before + 1
--- a/tests/test_iax2_session.py
+++ b/tests/test_iax2_session.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rowanmast.iax2 import frames
+from rowanmast.iax2 import endpoint, frames
 from rowanmast.iax2.frames import Control, Frame, FrameError, FrameType, Iax, Ie
 from rowanmast.iax2.session import FIRST_WAIT, LINGER, RETRIES, Session
 
@@ -164,3 +167,29 @@
 def test_frames_that_can_not_be_taken(data: bytes) -> None:
     with pytest.raises(FrameError):
         frames.read(data)
+
+
+def test_a_flood_of_new_calls_is_bounded_and_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(endpoint, "MAX_LEGS", 3)
+    taken: list[Any] = []
+
+    class Socket(asyncio.DatagramTransport):
+        sent: list[Frame] = []  # noqa: RUF012
+
+        def is_closing(self) -> bool:
+            return False
+
+        def sendto(self, data: Any, addr: Any = None) -> None:
+            self.sent.append(frames.read(data))
+
+    async def test() -> None:
+        side = endpoint.Endpoint(lambda: 0, lambda leg, frame: taken.append(leg))  # type: ignore[arg-type, func-returns-value]
+        side.connection_made(Socket())
+        for number in range(1, 6):
+            new = Frame(number, 0, 1, 0, 0, FrameType.IAX, Iax.NEW)
+            side.datagram_received(frames.write(new), ("127.0.0.1", 9))
+        side.connection_lost(None)
+        assert len(taken) == len(side.legs) == len(side.incoming) == 3
+        assert [frame.destination for frame in Socket.sent if frame.is_iax(Iax.INVAL)] == [4, 5]
+
+    asyncio.run(test())
