--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -22,6 +22,7 @@
 FIRST_US = 2_500_000  # a connection that has brought nothing whole by then is closed
 IDLE_US = 10_000_000  # one without a set-up open is closed this long after its last message; callers take 4 s
 SWEEP_S = 0.25
+LIMIT_EACH_US = 1_000_000  # a crowd at the limit is logged once in this time, not for each that comes
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500, Failure.UNFIT: 400}
 
 log = logging.getLogger(__name__)
@@ -52,6 +53,7 @@
         self.byes: dict[str, Bye] = {}  # that no caller has answered yet
         self.closing = False  # tests fail, so that callers go elsewhere
         self.refusing = False  # set-ups are refused at once
+        self.limit_told = -LIMIT_EACH_US  # when the log last said that the limit is reached
         self.timer: asyncio.TimerHandle | None = None
 
     # The port
@@ -107,7 +109,8 @@
                 self.send_bye(call, bye)
         for connection in [*self.strangers, *self.known]:
             limit = FIRST_US if connection.heard_at is None else IDLE_US
-            if not connection.set_ups and now - (connection.heard_at or connection.begun) > limit:
+            idle = not connection.set_ups and not connection.standing
+            if idle and now - (connection.heard_at or connection.begun) > limit:
                 self.dismiss(connection)
         if self.byes or self.strangers or self.known:
             self.wake()
@@ -129,7 +132,9 @@
     def connected(self, connection: Connection) -> None:
         connection.begun = self.clock()
         if len(self.strangers) + len(self.known) >= self.most:
-            log.warning("caller_limit", extra={"connections": self.most})
+            if connection.begun - self.limit_told >= LIMIT_EACH_US:
+                self.limit_told = connection.begun
+                log.warning("caller_limit", extra={"connections": self.most})
             self.dismiss(self.least_needed() or connection)
         if not connection.closing:
             self.strangers[connection] = None
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from standins import FakeTransport, Inbox
@@ -210,11 +211,13 @@
     line.take()
 
 
-def test_a_crowd_that_says_nothing_displaces_itself_and_no_caller() -> None:
+def test_a_crowd_that_says_nothing_displaces_itself_and_no_caller(caplog: pytest.LogCaptureFixture) -> None:
     callers, _, caller = connected()
     stood(callers, caller, "a")
-    crowd = [FakeTransport(Connection(callers)) for _ in range(5)]
+    with caplog.at_level("WARNING"):
+        crowd = [FakeTransport(Connection(callers)) for _ in range(5)]
     assert [line.closed for line in crowd] == [True] * 4 + [False] and not caller.closed
+    assert [record.getMessage() for record in caplog.records] == ["caller_limit"], "one line tells it"
 
 
 def test_connections_of_which_nothing_comes_are_closed_in_time() -> None:
@@ -228,7 +231,12 @@
     now[0] += IDLE_US
     callers.sweep()
     assert not caller.closed, "a set-up is open on it"
-    callers.refuse("a", 0)
+    callers.answer("a", "text")
+    now[0] += IDLE_US
+    callers.sweep()
+    assert not caller.closed, "a call that was set up on it stands, and its release goes there"
+    callers.release("a", 16)
+    now[0] += IDLE_US
     callers.sweep()
     assert caller.closed and not callers.known and not callers.strangers
 
