Wait in the SIGTERM test until the program says that it listens

Seen: the checks failed once with 'connection refused' in test_sigterm_answers_all_that_was_taken_also_just_after. The program opens its links to the switches it knows before it listens for callers, and the test took the link's arrival for a sign that it listened. Checked: with 0.3 s put between the two the old test fails and the new one passes; the whole suite passes on a quarter of one core.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -40,6 +40,16 @@
     )
 
 
+def wait_until_ready(process: subprocess.Popen[str]) -> str:
+    """What the program logs until it says that it listens, which comes after its links are opened."""
+    assert process.stderr is not None
+    lines = [process.stderr.readline()]
+    while "event=ready" not in lines[-1]:
+        lines.append(process.stderr.readline())
+        assert lines[-1], "ended before it was ready"
+    return "".join(lines)
+
+
 @pytest.mark.parametrize(
     ("config", "words"),
     [
@@ -99,7 +109,8 @@
         process = start(tmp_path, config)
         try:
             caller = SipCaller(watch, listen)
-            await eventually(lambda: bool(switch.transports), 10)
+            errors = await asyncio.to_thread(wait_until_ready, process)
+            await eventually(lambda: bool(switch.transports))
             await caller.start()
             caller.dial("71")
             await caller.answer("71")
@@ -118,7 +129,7 @@
             await eventually(lambda: process.poll() is not None, 6)
         finally:
             process.kill()
-        errors = process.communicate()[1]
+        errors += process.communicate()[1]
         assert process.returncode == 0
         assert "event=stopped owed=0" in errors and "level=error" not in errors
         assert all(re.match(r"time=\S+ level=\w+ part=\S+ event=\S+", line) for line in errors.splitlines())
