Try a signalling fault again at once, at the switch itself, as often as allowed

A note of every refusal and every outcome in the module showed that three of four set-ups to one exchange end as 'error' without a cause after one round trip, while the others stand: no number was busy (354 numbers, three errors at most each), the gate was open, nothing was late. way_left() took each such error for the end of the call, so the call was refused and its caller came back after its pause, mostly past the aim. Ruled out: busy numbers (no cause 'lines busy'), circuits (90 free), a way round (errors by tandems too). Now a safe call goes on at once: at the same switch where it is the destination, by another way where it was the tandem. Rule 2 still ends those that may not be repeated, and no release is awaited, as nothing stood.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -588,6 +588,8 @@
         elif self.way_left(event):
             if self.tandems.get(held.call.dest) == event.exchange:
                 del self.tandems[held.call.dest]
+            if event.outcome is Outcome.BUSY and far is self.up.get(held.call.dest):
+                held.tried = []  # no other way goes round the destination
             self.route(held)
         else:
             self.refuse(held)
@@ -631,8 +633,11 @@
 
     @staticmethod
     def way_left(event: Ended) -> bool:
-        """Whether another way may do better: not when the destination or our own processor is full."""
-        if event.outcome is Outcome.UNREACHED:
+        """Whether a further set-up may do better: not when the destination or our own processor is full.
+
+        An error without a cause is a signalling fault, which tells nothing of the next set-up.
+        """
+        if event.outcome is Outcome.UNREACHED or (event.outcome is Outcome.BUSY and event.cause is None):
             return True
         return event.cause in (Cause.NO_CIRCUIT, Cause.TURNED_BACK)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -289,6 +289,29 @@
     assert sent_to(desk.at(SECOND, call("d", key="k"))) == ["x1"]
 
 
+def test_a_signalling_fault_is_tried_again_at_once_as_often_as_allowed() -> None:
+    desk = Desk()
+    actions = desk.at(0, call("a"))
+    for attempt in range(SETTINGS.max_attempts):
+        assert sent_to(actions) == ["x1"]
+        actions = desk.at(30 * MS, ended("a", "x1", Outcome.BUSY, attempt))
+    assert actions == [TurnAway("a", 0)]
+
+
+def test_a_signalling_fault_of_a_tandem_leads_to_another_way() -> None:
+    desk = Desk()
+    desk.circuits("x1", 0)
+    (first,) = sent_to(desk.at(0, call("a")))
+    (second,) = sent_to(desk.at(30 * MS, ended("a", first, Outcome.BUSY)))
+    assert len({"x1", first, second}) == 3
+
+
+def test_a_signalling_fault_ends_a_call_that_may_not_be_repeated() -> None:
+    desk = Desk()
+    desk.at(0, call("a", klass=2))
+    assert desk.at(30 * MS, ended("a", "x1", Outcome.BUSY)) == [GiveUp("a")]
+
+
 def test_a_fresh_report_keeps_its_share_back_and_an_old_one_none() -> None:
     desk = Desk()
     desk.at(0, Reported("x1", True, 0, Report(free=20, size=30, hold_back=0.5)))
