Scale the pauses of detours and busy numbers with the length of a call

A call there lasts 1.5 s, not the 12 s for which BACK, BACK_MAX, BUSY and BUSY_MAX were written down in seconds, so circuits beyond were free long before. They are now shares of the mean length of a call, the same as before where calls last 12 s.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -60,9 +60,10 @@
 OWN_LATE = 3.0  # the same for all far exchanges at once: then our own processor is late
 DEAR = 3.0  # a call counts as at most this many of mean worth
 FLOOR = 0.2  # share of the offered rate under which a level is never cut: a level of nothing stays shut
-BACK, BACK_MAX = SECOND, 8 * SECOND  # first and longest pause of a detour that was turned back: circuits
-# beyond come free within a small part of a call's length
-BUSY, BUSY_MAX = SECOND // 4, 2 * SECOND  # first and longest pause of a number whose lines are busy
+HOLD = 12 * SECOND  # mean length of a call, where the settings tell none
+BACK, BACK_MAX = 0.08, 0.67  # first and longest pause of a detour that was turned back, in mean call lengths:
+# circuits beyond come free within a small part of one
+BUSY, BUSY_MAX = 0.02, 0.17  # the same for a number whose lines are busy
 PAUSE_EACH = 0.15 * SECOND  # longest pause before a set-up asks a shut exchange, for each agent that asks
 LOSING = 10 * SECOND  # time within which two lost answers tell that more get lost
 SPREAD = 2.0  # mean deviations over the mean delay that answers usually take at most
@@ -187,11 +188,11 @@
         self.up: dict[int, Far] = {}  # by number, the exchange that takes new calls
         self.ready: list[Far] = []  # the same, to draw from
         self.tandems: dict[int, str] = {}
-        self.backs: dict[tuple[str, int], tuple[int, int]] = {}  # detours turned back: pause, its end
+        self.backs: dict[tuple[str, int], tuple[float, int]] = {}  # detours turned back: pause, its end
         self.held: dict[str, Held] = {}
         self.gate: Gate | None = None
         self.seen: dict[str, int] = {}  # when a number was first dialled by a caller who may dial again
-        self.busy: dict[str, tuple[int, int]] = {}  # numbers with all lines busy: pause, its end
+        self.busy: dict[str, tuple[float, int]] = {}  # numbers with all lines busy: pause, its end
         self.mean_worth = 0.0
         self.cut_at = 0  # when the gate's level was last cut
         self.quick = 0  # when the last set-up left that was answered within the target
@@ -207,6 +208,8 @@
         self.said_ill = False
         aims = [item.aim_ns for item in settings.classes if item.aim_ns > 0] or [SECOND]
         resend = int(settings.resend_ns * RESEND_SHARE)
+        holds = [item.hold_ns for item in settings.classes if item.hold_ns] or [HOLD]
+        self.hold = sum(holds) / len(holds)
         self.target = min(filter(None, (resend, int(min(aims) * AIM_SHARE))))
 
     def handle(self, now_ns: int, event: Event) -> list[Action]:
@@ -618,9 +621,9 @@
 
     def on_busy(self, held: Held) -> None:
         """Shuts the gate to a number whose lines are busy, for a pause by how often they were found so."""
-        for key in [key for key, (_, end) in self.busy.items() if self.now - end > BUSY_MAX][:2]:
+        for key in [key for key, (_, end) in self.busy.items() if self.now - end > BUSY_MAX * self.hold][:2]:
             del self.busy[key]
-        pause = min(self.busy.get(held.call.key, (BUSY // 2, 0))[0] * 2, BUSY_MAX)
+        pause = min(self.busy.get(held.call.key, (BUSY * self.hold / 2, 0))[0] * 2, BUSY_MAX * self.hold)
         self.busy[held.call.key] = (pause, self.now + int(pause * self.random.uniform(0.75, 1.25)))
 
     def on_turned_back(self, event: Ended) -> None:
@@ -628,7 +631,7 @@
         held = self.held.get(event.call)
         if held is not None and event.cause is Cause.TURNED_BACK:
             way = (event.exchange, held.call.dest)
-            pause = min(self.backs.get(way, (BACK // 2, 0))[0] * 2, BACK_MAX)
+            pause = min(self.backs.get(way, (BACK * self.hold / 2, 0))[0] * 2, BACK_MAX * self.hold)
             self.backs[way] = (pause, self.now + int(pause * self.random.uniform(0.75, 1.25)))
 
     @staticmethod
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -109,6 +109,22 @@
         desk.at(20 * MS, Stands(f"b{index}", 0, second, 20 * MS))
 
 
+def test_the_shorter_the_calls_the_sooner_a_detour_or_a_busy_number_is_tried_again() -> None:
+    short = replace(SETTINGS.classes[0], hold_ns=SECOND)
+    for settings, again in ((SETTINGS, False), (replace(SETTINGS, classes=(short,)), True)):
+        desk = Desk(settings)
+        desk.at(0, listed(*(entry(number) for number in range(3))))  # one tandem, x2
+        desk.circuits("x1", 0)
+        assert sent_to(desk.at(MS, call("a"))) == ["x2"]
+        desk.at(30 * MS, ended("a", "x2", Outcome.FULL, cause=Cause.TURNED_BACK))
+        desk.quick("b", 2)
+        assert (sent_to(desk.at(100 * MS, call("c"))) == ["x2"]) is again
+        desk = Desk(settings)
+        desk.at(0, call("a", key="k"))
+        desk.at(30 * MS, ended("a", "x1", Outcome.BUSY, cause=Cause.LINES_BUSY))
+        assert (sent_to(desk.at(100 * MS, call("b", key="k"))) == ["x1"]) is again
+
+
 def test_transit_goes_to_its_destination_or_is_turned_back() -> None:
     desk = Desk()
     desk.circuits("x1", 20)
