Leave calls standing over a planned restart, and let the next run tell of their end

Now only calls with an IAX2 side are released (Front.lasting, SwitchLink.lasting); the others stand on, and a run that hears the end of a call it never saw passes it on to the callers, unless the call was its own until 10 s ago. Checked: leaving 1.2 s after SIGTERM brings the next run no sooner (4.6 s after it either way) and fails as many, so the wait stays. The tests wait for the router to listen before callers come.

--- a/rowanmast/__main__.py
+++ b/rowanmast/__main__.py
@@ -28,7 +28,7 @@
 RELEASE_MARGIN_US = 50_000
 ACCEPT_S = 0.7  # after SIGTERM, callers still come for this long
 KILL_AFTER_S = 3.0  # beyond that SIGKILL may come, or as much later as the longest deadline is longer
-KILL_MARGIN_S = 0.4  # before it may, the calls that still stand are released
+KILL_MARGIN_S = 0.4  # before it may, we leave the calls that still stand
 SETTLE_S = 0.05  # time for the last bytes to leave
 FIXED = ("name", "listen", "sockets", "settings", "connect_s")  # in the configuration, until a restart
 
@@ -48,14 +48,15 @@
         self.random = Random(config.seed)
         self.links: dict[str, SwitchLink] = {}
         agent = CallAgent(with_margin(config.settings, RELEASE_MARGIN_US), config.seed)
-        self.ledger = Ledger(config.settings, config.classes, agent, self.links)
-        self.turn = Turn(loop, self.ledger)
         self.callers = callers.Callers(self, config.sockets // 2, now_us)
+        self.ledger = Ledger(config.settings, config.classes, agent, self.links, self.callers)
+        self.turn = Turn(loop, self.ledger)
         self.changes = ChangeLog(config.changelog, reader, 0, self.tell, self.random)
         self.peers: dict[str, PeerLink | IaxLink] = {}
         self.iax_front = IaxFront(self, self.random, self.takes_iax)
         self.endpoint = Endpoint(now_us, self.iax_front.invited)
         self.pair: vrrp.Endpoint | None = None
+        self.ready = asyncio.Event()
         self.stop = asyncio.Event()
 
     def post(self, item: Input) -> None:
@@ -117,6 +118,7 @@
             lambda: callers.Connection(self.callers), *self.config.listen, backlog=1024
         )
         log.info("ready", extra={"listen": "{}:{}".format(*self.config.listen)})
+        self.ready.set()
         await self.stop.wait()
         await self.shut_down(server)
         self.changes.stop()
@@ -135,7 +137,10 @@
         self.changes.turn_to(config.changelog)
 
     async def shut_down(self, server: asyncio.Server) -> None:
-        """Takes calls a little longer, answers them all, and lets those that stand come to their end."""
+        """Takes calls a little longer, answers them all, and waits for those that stand.
+
+        What still stands then goes on: the next run at this address hears of its end and tells the caller.
+        """
         log.info("stopping", extra={"owed": self.ledger.owed(), "calls": len(self.ledger.records)})
         begun = self.loop.time()
         self.callers.closing = True
@@ -148,12 +153,15 @@
         end = begun + ACCEPT_S + max(longest, KILL_AFTER_S) - KILL_MARGIN_S
         while self.ledger.records and self.loop.time() < end:
             await asyncio.sleep(0.02)
-        self.ledger.release_all()
+        self.ledger.release_bound()
+        standing = len(self.ledger.records)
+        for exchange in list(self.peers):
+            self.drop(exchange)
         while self.callers.byes and self.loop.time() < end + KILL_MARGIN_S / 2:
             await asyncio.sleep(0.02)
         self.callers.close()
         await asyncio.sleep(SETTLE_S)
-        log.info("stopped", extra={"owed": self.ledger.owed()})
+        log.info("stopped", extra={"owed": self.ledger.owed(), "standing": standing})
 
 
 async def serve(config: Config, iax: IaxConfig | None, reader: Reader) -> None:
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -8,6 +8,7 @@
 
 import heapq
 import logging
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -23,6 +24,7 @@
     CallOver,
     Cancelled,
     Failure,
+    Front,
     Input,
     Links,
     NoLink,
@@ -35,6 +37,7 @@
 NS = 1000  # nanoseconds in a microsecond: the module counts in them
 GONE = NoLink()
 SPARE_DUES = 64  # entries of the timer heap that may be stale before it is cleared of them
+PAST_US = 10_000_000  # a switch's release may cross ours, or come twice, within this time
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 Item = TypeVar("Item")
@@ -61,12 +64,18 @@
 
 class Ledger:
     def __init__(
-        self, settings: api.Settings, classes: Mapping[str, int], agent: CallAgent, links: Links
+        self,
+        settings: api.Settings,
+        classes: Mapping[str, int],
+        agent: CallAgent,
+        links: Links,
+        heir: Front | None = None,
     ) -> None:
         self.settings = settings
         self.classes = classes
         self.agent = agent
         self.links = links
+        self.heir = heir  # hears the end of calls that an earlier run left standing
         self.records: dict[str, Record] = {}
         self.listed: dict[str, api.ListEntry] = {}
         self.dues: list[tuple[int, int, Due]] = []
@@ -75,6 +84,7 @@
         self.events: list[api.Event] = []  # for the module
         self.overdue: list[Record] = []  # calls past their deadline
         self.over: list[str] = []  # calls to be forgotten when the turn ends
+        self.past: OrderedDict[str, int] = OrderedDict()  # calls that are over: since when
         self.now = 0
 
     # The turn
@@ -91,7 +101,10 @@
         self.consult()
         for call in self.over:
             self.records.pop(call, None)
+            self.past[call] = now
         self.over.clear()
+        while self.past and now - next(iter(self.past.values())) > PAST_US:
+            self.past.popitem(last=False)
         if len(self.dues) > 2 * self.kept_dues + SPARE_DUES:
             self.clear_dues()
 
@@ -117,11 +130,14 @@
         record = self.records.get(attempt.call)
         return record is not None and record.out is attempt and self.is_up(attempt.exchange)
 
-    def release_all(self) -> None:
-        """Ends every call that stands, on both sides."""
+    def release_bound(self) -> None:
+        """Ends the calls that can't stand without us, on both sides."""
         for record in list(self.records.values()):
-            if record.stands is not None:
-                self.link(record.stands.exchange).release(record.offer.call, TEMPORARY_FAILURE)
+            if record.stands is None:
+                continue
+            link = self.link(record.stands.exchange)
+            if not (link.lasting and record.offer.front.lasting):
+                link.release(record.offer.call, TEMPORARY_FAILURE)
                 self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
 
     def take(self, item: Input) -> None:
@@ -270,6 +286,9 @@
 
     def on_call_over(self, item: CallOver) -> None:
         record = self.records.get(item.call)
+        if record is None and self.heir is not None and item.call not in self.past:
+            done = item.outcome is api.Outcome.DONE
+            self.heir.release(item.call, NORMAL_CLEARING if done else TEMPORARY_FAILURE)
         if record is not None and record.stands is not None and record.stands.exchange == item.exchange:
             done = item.outcome is api.Outcome.DONE
             cause = NORMAL_CLEARING if done else TEMPORARY_FAILURE
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -24,6 +24,8 @@
 class Front(Protocol):
     """Where calls come from."""
 
+    lasting: bool  # calls stand on when the router ends, and its next run may release them
+
     def answer(self, call: str, text: str) -> None: ...
 
     def refuse(self, call: str, stay_away_us: int) -> None: ...
@@ -50,6 +52,8 @@
 class SwitchLink(Protocol):
     """The way to one switch. `call_off` takes back a set-up, `release` ends a call that stands."""
 
+    lasting: bool  # as with a front
+
     def set_up(self, attempt: Attempt) -> None: ...
 
     def call_off(self, call: str) -> None: ...
@@ -62,6 +66,8 @@
 class NoLink:
     """In place of the link to a switch that is gone: there is nothing to tell there any more."""
 
+    lasting = False
+
     def set_up(self, attempt: Attempt) -> None:
         raise LookupError(f"{attempt.exchange} is gone")
 
--- a/rowanmast/iax2/front.py
+++ b/rowanmast/iax2/front.py
@@ -30,6 +30,8 @@
 
 
 class IaxFront:
+    lasting = False
+
     def __init__(self, inbox: Inbox, random: Random, takes_new: Callable[[], bool]) -> None:
         self.inbox = inbox
         self.random = random
--- a/rowanmast/iax2/peers.py
+++ b/rowanmast/iax2/peers.py
@@ -29,6 +29,8 @@
 
 
 class IaxLink:
+    lasting = False
+
     def __init__(
         self,
         exchange: str,
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -42,6 +42,8 @@
 class Callers:
     """All callers' connections, the set-ups open on them and the releases that they still have to hear."""
 
+    lasting = True
+
     def __init__(self, inbox: Inbox, most: int, clock: Callable[[], int]) -> None:
         self.inbox = inbox
         self.clock = clock
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -52,6 +52,8 @@
 class PeerLink:
     """The connections to a switch, kept open while the switch is listed, and what is out on them."""
 
+    lasting = True
+
     def __init__(
         self,
         exchange: str,
