Let a call wait for a destination that took nothing while it can still stand in time

Now, while the gate is open, such a call is kept and tried again when the pause is over, as long as it can still stand within its aim; it is no call that was given up: each wait ends in a set-up, in a further wait for the one set-up that asks whether the exchange is back, or in the refusal, at once when the aim is out of reach.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -368,10 +368,27 @@
             return
         spent = held.attempts >= self.set.max_attempts or self.now >= held.deadline - self.set.period_ns
         far = None if spent else self.direct(held) or self.alternative(held)
-        if far is None or not self.may_run(held, far) or not self.let(far, held):
-            self.refuse(held)
-        else:
+        if far is not None and self.may_run(held, far) and self.let(far, held):
             self.send(held, far)
+        elif far is not None or spent or not self.waits(held):
+            self.refuse(held)
+
+    def waits(self, held: Held) -> bool:
+        """Keeps a call for a shut destination, to be tried again, while it can still stand in time.
+
+        That costs no processor anything, and a caller who is refused comes back past the aim.
+        """
+        far = self.up.get(held.call.dest)
+        assert self.gate is not None
+        if far is None or not far.strikes or held.call.transit or not math.isinf(self.gate.level):
+            return False
+        wait = max(far.shut_until - self.now, int(self.target * self.random.uniform(0.5, 1.0)))
+        if self.now + wait + self.target > min(held.aim_at, held.deadline):
+            return False
+        if far.entry.exchange in held.tried:
+            held.tried.remove(far.entry.exchange)
+        self.actions.append(SetTimer(wait, "call " + held.call.call))
+        return True
 
     def note(self, far: Far, report: Report) -> None:
         far.note(report, self.now, self.sends * (self.set.agents - 1))
@@ -594,7 +611,7 @@
             if event.outcome is Outcome.BUSY and far is self.up.get(held.call.dest):
                 held.tried = []  # no other way goes round the destination
             self.route(held)
-        else:
+        elif event.cause is not Cause.PROCESSOR_FULL or not self.waits(held):
             self.refuse(held)
 
     def on_refused(self, far: Far, event: Ended) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -328,6 +328,33 @@
     assert desk.at(30 * MS, ended("a", "x1", Outcome.BUSY)) == [GiveUp("a")]
 
 
+def test_a_call_for_a_shut_destination_waits_while_it_can_stand_in_time() -> None:
+    desk = Desk()
+    desk.at(0, call("a"))
+    full = ended("a", "x1", Outcome.FULL, cause=Cause.PROCESSOR_FULL)
+    (first,) = desk.at(50 * MS, full)
+    (second,) = desk.at(0, call("b"))
+    assert isinstance(first, SetTimer) and isinstance(second, SetTimer)
+    assert sent_to(desk.at(first.in_ns, TimerDue(first.token))) == ["x1"]
+    (third,) = desk.at(0, TimerDue(second.token))  # one at a time asks whether it is back
+    assert isinstance(third, SetTimer) and third.token == second.token
+    desk.at(50 * MS, Stands("a", 1, "x1", 50 * MS))
+    assert sent_to(desk.at(third.in_ns, TimerDue(third.token))) == ["x1"]
+
+
+def test_a_call_waits_for_no_longer_than_its_aim_and_not_while_the_gate_is_shut() -> None:
+    full = ended("a", "x1", Outcome.FULL, cause=Cause.PROCESSOR_FULL)
+    short = replace(SETTINGS.classes[0], aim_ns=200 * MS)
+    desk = Desk(replace(SETTINGS, classes=(short,)))
+    desk.at(0, call("a"))
+    assert desk.at(50 * MS, full)[0].__class__ is TurnAway
+    desk = Desk()
+    desk.at(0, call("a"))
+    assert desk.agent.gate is not None
+    desk.agent.gate.level = 5.0
+    assert desk.at(50 * MS, full)[0].__class__ is TurnAway
+
+
 def test_a_fresh_report_keeps_its_share_back_and_an_old_one_none() -> None:
     desk = Desk()
     desk.at(0, Reported("x1", True, 0, Report(free=20, size=30, hold_back=0.5)))
