--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -134,6 +134,7 @@
     answers: int = 0
     quickest: int = 0  # delay of the quickest answer: the way and the work, without a wait
     strikes: int = 0  # set-ups that it did not take, since the last that it did
+    struck: int = 0  # when the last of these was heard of
     shut_until: int = 0
     missed: int = -LOSING  # when a set-up to it last timed out, with no answer since
     slow_at: int = -CALM  # when it last owed or answered a set-up past the target
@@ -629,7 +630,10 @@
         full = event.cause in (Cause.PROCESSOR_FULL, Cause.FULL_BEYOND)
         if event.outcome not in (Outcome.TIMED_OUT, Outcome.UNREACHED) and not full:
             return
+        if far.strikes and self.now - event.delay_ns <= far.struck:
+            return  # it left before that and tells nothing new
         far.strikes += 1
+        far.struck = self.now
         if event.outcome is Outcome.TIMED_OUT:
             far.missed = self.now
         longest = PAUSE_EACH * self.set.agents * self.random.uniform(0.75, 1.25)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -342,6 +342,21 @@
     assert sent_to(desk.at(third.in_ns, TimerDue(third.token))) == ["x1"]
 
 
+def test_set_ups_that_left_before_a_refusal_was_heard_count_as_one_with_it() -> None:
+    desk = Desk()
+    for index in range(5):
+        desk.at(MS, call(f"a{index}"))
+    for index in range(5):
+        full = ended(f"a{index}", "x1", Outcome.FULL, cause=Cause.PROCESSOR_FULL, delay_ns=50 * MS)
+        desk.at(MS, full)
+    assert desk.agent.fars["x1"].strikes == 1
+    (wait,) = desk.at(0, call("b"))
+    assert isinstance(wait, SetTimer)
+    assert sent_to(desk.at(wait.in_ns, TimerDue(wait.token))) == ["x1"]
+    desk.at(50 * MS, replace(full, call="b", attempt=0))
+    assert desk.agent.fars["x1"].strikes == 2
+
+
 def test_a_call_waits_for_no_longer_than_its_aim_and_not_while_the_gate_is_shut() -> None:
     full = ended("a", "x1", Outcome.FULL, cause=Cause.PROCESSOR_FULL)
     short = replace(SETTINGS.classes[0], aim_ns=200 * MS)
