Account lateness and first dials in constant time a call, with the same decisions

Need: nine tenths of the processor time of a call went into CallAgent.worth, which read the whole table of numbers dialled at every call, so that a call cost more the more calls came; own_late read every switch.

Change: numbers first dialled are kept oldest first, so only the two oldest are looked at. Set-ups wait in one queue until they are past the delay target; only those that are so, and still without an answer, are counted, at their switch, and no further than the question needs. note_lost no longer copies all that a switch owes. tests/test_same_decisions.py holds the agent against the plain definitions on random traffic (a mutation of each account fails it). benchmarks/bare_ledger.py measures ledger and decisions in virtual time.

--- a/rowanmast/control.py
+++ b/rowanmast/control.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from itertools import islice, takewhile
 from random import Random
 
 from rowanmast.interface import (
@@ -141,14 +143,26 @@
     hold: float = 0.0  # share of new set-ups that its last report asks to keep back
     told: int = 0  # when that report came
     credit: float = 0.0  # set-ups that may go while it asks so
+    aged: deque[tuple[int, tuple[str, int]]] = field(default_factory=deque)  # past the target: sent, which
 
-    def late(self, since: int, after: int = 0) -> int:
-        """How many unanswered set-ups were sent up to `since` (and later than `after`)."""
+    def late(self, since: int, enough: float) -> int:
+        """How many unanswered set-ups were sent up to `since`, counted no further than `enough`."""
         count = 0
         for sent in self.owed.values():
-            if sent > since:
+            if sent > since or count >= enough:
                 break
-            count += sent > after
+            count += 1
+        return count
+
+    def late_after(self, since: int, after: int, enough: float) -> int:
+        """The same of those sent later than `after`, a time that never goes back."""
+        while self.aged and (self.aged[0][0] <= after or self.owed.get(self.aged[0][1]) != self.aged[0][0]):
+            self.aged.popleft()
+        count = 0
+        for sent, which in self.aged:
+            if sent > since or count >= enough:
+                break
+            count += self.owed.get(which) == sent
         return count
 
     def note(self, report: Report, now: int, usual: float) -> None:
@@ -192,11 +206,15 @@
         self.backs: dict[tuple[str, int], tuple[float, int]] = {}  # detours turned back: pause, its end
         self.held: dict[str, Held] = {}
         self.gate: Gate | None = None
-        self.seen: dict[str, int] = {}  # when a number was first dialled by a caller who may dial again
+        self.seen: OrderedDict[str, int] = (
+            OrderedDict()
+        )  # when a number was first dialled by a caller who may dial again
         self.busy: dict[str, tuple[float, int]] = {}  # numbers with all lines busy: pause, its end
         self.mean_worth = 0.0
         self.cut_at = 0  # when the gate's level was last cut
         self.quick = 0  # when the last set-up left that was answered within the target
+        self.young: deque[tuple[int, Far, tuple[str, int]]] = deque()  # set-ups as they left
+        self.slow: dict[str, Far] = {}  # exchanges with set-ups that have aged without an answer
         self.actions: list[Action] = []
         self.now = 0
         self.sends = 0.0  # set-ups a second to one warm exchange, smoothed
@@ -323,7 +341,8 @@
             return
         lines = call.transit or self.now >= self.busy.get(call.key, (0, 0))[1]
         let = lines and self.gate.offer(self.now, held.worth) and not self.displaces(held)
-        if let and self.own_late() < OWN_LATE * (1 + self.spared()) * held.worth:
+        enough = OWN_LATE * (1 + self.spared()) * held.worth
+        if let and self.own_late(enough) < enough:
             self.route(held)
         else:
             self.refuse(held)
@@ -342,8 +361,9 @@
         worth = kind.worth
         held.aim_at = self.now + kind.aim_ns
         if not call.transit:
-            for key in [key for key, seen in self.seen.items() if self.now - seen > kind.deadline_ns][:2]:
-                del self.seen[key]
+            for key, seen in list(islice(self.seen.items(), 2)):  # the oldest come first
+                if self.now - seen > kind.deadline_ns:
+                    del self.seen[key]
             first = self.seen.setdefault(call.key, self.now) if call.key else self.now
             held.aim_at = first + kind.aim_ns
             if self.now + self.target > held.aim_at:
@@ -351,9 +371,25 @@
         self.mean_worth += (kind.worth - self.mean_worth) * (0.02 if self.mean_worth else 1.0)
         return min(worth / max(self.mean_worth, 1e-9), DEAR)
 
-    def own_late(self) -> int:
-        """Late set-ups that left after the last one answered quickly: delay common to all is our own."""
-        return sum(far.late(self.since(far), self.quick) for far in self.fars.values() if not far.strikes)
+    def own_late(self, enough: float) -> int:
+        """Late set-ups that left after the last one answered quickly: delay common to all is our own.
+
+        Counted no further than `enough`, and only where some have aged, so that its cost stays the same.
+        """
+        while self.young and self.young[0][0] <= self.now - self.target:
+            sent, far, which = self.young.popleft()
+            if sent > self.quick and far.owed.get(which) == sent:
+                far.aged.append((sent, which))
+                self.slow[far.entry.exchange] = far
+        count = 0
+        for exchange, far in list(self.slow.items()):
+            known = self.fars.get(exchange) is far
+            count += far.late_after(self.since(far), self.quick, enough - count) * (known and not far.strikes)
+            if not (known and far.aged):
+                del self.slow[exchange]
+            if count >= enough:
+                break
+        return count
 
     def limit(self, far: Far) -> int:
         """How long a set-up to this exchange may take before it is late."""
@@ -412,7 +448,8 @@
             return False
         if far.strikes > self.spared() and (far.owed or self.now < far.shut_until):
             return False  # it took nothing: one set-up at a time asks whether it is back
-        if far.owed and far.late(self.since(far)) >= (LATE + self.spared()) * held.worth:
+        enough = (LATE + self.spared()) * held.worth
+        if far.owed and far.late(self.since(far), enough) >= enough:
             return False
         return (far.free is None or far.free >= held.width + kept) and self.has_budget(far)
 
@@ -447,11 +484,11 @@
         """
         assert self.gate is not None
         far = self.up.get(dest)
-        if far is not None and (far.strikes > self.spared() or far.late(self.since(far))):
+        if far is not None and (far.strikes > self.spared() or far.late(self.since(far), 1)):
             return True
         if far is not None and not self.has_budget(far):
             return True
-        return self.gate.throttled or self.own_late() > 0
+        return self.gate.throttled or self.own_late(1) > 0
 
     def spare(self, far: Far, held: Held) -> bool:
         """Whether a detour by this exchange leaves room for its direct calls, and none waits there."""
@@ -459,7 +496,7 @@
             return False
         kept = self.kept(far, held)
         _, end = self.backs.get((far.entry.exchange, held.call.dest), (0, 0))
-        return self.now >= end and self.usable(far, held, kept) and far.late(self.since(far)) == 0
+        return self.now >= end and self.usable(far, held, kept) and far.late(self.since(far), 1) == 0
 
     @staticmethod
     def kept(far: Far, held: Held) -> float:
@@ -486,7 +523,9 @@
         held.tried.append(far.entry.exchange)
         if held.ran_at is None:
             held.ran_ns = self.now
-        far.owed[held.call.call, held.attempts - 1] = self.now
+        which = held.call.call, held.attempts - 1
+        far.owed[which] = self.now
+        self.young.append((self.now, far, which))
         if self.cold(far):
             far.sent.append(self.now)
             self.budget -= 1.0
@@ -524,9 +563,7 @@
         well_before = min(far.quickest or self.target, self.target)
         lost = far.missed > self.now - LOSING
         far.missed = -LOSING
-        for (call, attempt), left in list(far.owed.items()):
-            if left > sent - well_before:
-                break
+        for (call, attempt), _ in list(takewhile(lambda it: it[1] <= sent - well_before, far.owed.items())):
             held = self.held.get(call)
             if held is not None and held.call.dest == far.entry.number:
                 del far.owed[call, attempt]
