--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run schema bench
 
 build: .venv/made
 
@@ -17,3 +17,11 @@
 # One router against the toy switch and the configuration of examples/.
 run: build
 	PROXY_CONFIG=examples/config.json .venv/bin/python -m rowanmast
+
+# Our settings' schema as Python, after a change of it.
+schema: build
+	.venv/bin/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. rowanmast/options/settings.proto
+
+# Calls a second and added delay of the bare ledger, the library and the daemon, side by side; some minutes.
+bench: build
+	.venv/bin/python -m benchmarks
--- /dev/null
+++ b/rowanmast/app/daemon.py
@@ -0,0 +1,112 @@
+"""The daemon: one router with the fronts of its configuration, and the signals of its process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from rowanmast import vrrp
+from rowanmast.app.parts import IaxPart, SipPart
+from rowanmast.app.router import Router
+from rowanmast.config import Config, ConfigError, IaxConfig, read_config
+from rowanmast.iax2.front import IaxFront
+from rowanmast.net import logs
+from rowanmast.net.callers import Callers
+from rowanmast.net.changelog import Reader
+from rowanmast.net.turn import now_us
+
+FIXED = ("name", "listen", "sockets", "settings", "connect_s")  # in the configuration, until a restart
+
+log = logging.getLogger("rowanmast")
+
+
+class Daemon(Router):
+    """A router with callers over SIP and, where the settings have it, IAX2."""
+
+    def __init__(
+        self, config: Config, iax: IaxConfig | None, reader: Reader, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.callers = Callers(self, config.sockets // 2, now_us)
+        super().__init__(config, reader, loop, heir=self.callers)
+        self.iax = None if iax is None else IaxPart(self, iax)
+        if self.iax is not None:
+            self.add(self.iax)
+            self.use(self.iax.make_link)
+        self.add(SipPart(self.callers, config.listen))
+
+    @property
+    def pair(self) -> vrrp.Endpoint | None:
+        return None if self.iax is None else self.iax.pair
+
+    @property
+    def iax_front(self) -> IaxFront | None:
+        return None if self.iax is None else self.iax.front
+
+    def takes_iax(self) -> bool:
+        """Whether new IAX2 calls are taken now."""
+        return self.iax is not None and self.iax.takes_new()
+
+    async def open(self) -> None:
+        await super().open()
+        log.info("ready", extra={"listen": "{}:{}".format(*self.config.listen)})
+
+    def mind_signals(self) -> None:
+        for name in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(name, self.stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+
+    def reload(self) -> None:
+        """Turns to the change log that the file names now; what else has changed there takes a restart."""
+        try:
+            config = read_config(self.config.path, self.reader)
+        except ConfigError as error:
+            log.warning("bad_configuration", extra={"why": error})
+            return
+        changed = [name for name in FIXED if getattr(config, name) != getattr(self.config, name)]
+        if changed:
+            log.warning("restart_needed", extra={"changed": ",".join(changed)})
+        log.info("reloaded", extra={"changelog": "{}:{}".format(*config.changelog)})
+        self.changes.turn_to(config.changelog)
+
+
+async def serve(config: Config, iax: IaxConfig | None, reader: Reader) -> None:
+    daemon = Daemon(config, iax, reader, asyncio.get_running_loop())
+    daemon.mind_signals()
+    await daemon.run()
+
+
+def read_own_settings(path: str | None) -> IaxConfig | None:
+    """Our own settings, where a file is named; the library that reads them is loaded only then."""
+    if not path:
+        return None
+    from rowanmast.options.reader import read_options
+
+    return read_options(path).iax
+
+
+def start(config_path: str | None, settings_path: str | None) -> int:
+    """Serves until it is told to stop; the exit code is 1 if it can't begin, with one line that says why."""
+    reader = Reader()
+    try:
+        config = read_config(config_path, reader)
+        iax = read_own_settings(settings_path)
+    except ConfigError as error:
+        print(f"rowanmast: {error}", file=sys.stderr)
+        return 1
+    logs.set_up(config.name)
+    try:
+        uvloop.run(serve(config, iax, reader))
+    except OSError as error:
+        print(f"rowanmast: can't listen: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main() -> int:
+    """The daemon as the platform starts it: everything is in the environment."""
+    return start(os.environ.get("PROXY_CONFIG"), os.environ.get("ROWANMAST_SETTINGS"))
--- /dev/null
+++ b/rowanmast/app/router.py
@@ -0,0 +1,192 @@
+"""One assembly for every router: the ledger, the decisions, the change log, any set of fronts and links.
+
+Nothing here reads the environment, minds signals or keeps state outside the router that it builds. The
+daemon, the embedded router and the tests all hold one of these; they differ in the parts that they add.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from rowanmast import interface as api
+from rowanmast.config import Config
+from rowanmast.control import CallAgent
+from rowanmast.core.coldshare import ColdShare
+from rowanmast.core.ledger import Ledger, with_margin
+from rowanmast.core.ports import Front, Input, SwitchLink
+from rowanmast.net.changelog import Change, ChangeLog, Reader
+from rowanmast.net.peers import PeerLink
+from rowanmast.net.turn import Turn
+
+RELEASE_MARGIN_US = 50_000
+ACCEPT_S = 0.7  # after a stop is asked for, callers still come for this long
+KILL_AFTER_S = 3.0  # beyond that SIGKILL may come, or as much later as the longest deadline is longer
+KILL_MARGIN_S = 0.4  # before it may, we leave the calls that still stand
+SETTLE_S = 0.05  # time for the last bytes to leave
+POLL_S = 0.02
+
+Address = tuple[str, int]
+Clock = Callable[[], int]
+
+log = logging.getLogger(__name__)
+
+
+class Part(Protocol):
+    """A front, or what fronts and links need, with a life of its own inside a router."""
+
+    async def open(self) -> None:
+        """Begins to listen. Raises OSError where that can't be done."""
+
+    def wind_down(self) -> None:
+        """The router stops: tells callers to go elsewhere, but still takes what comes."""
+
+    def refuse_all(self) -> None:
+        """Takes nothing new from now on: what comes is refused at once."""
+
+    def told_all(self) -> bool:
+        """Whether callers have heard all that they must."""
+
+    def close(self) -> None:
+        """Lets go of every socket."""
+
+
+class ClosableLink(SwitchLink, Protocol):
+    """A switch link as the assembly holds it."""
+
+    address: Address  # as the change log gives it; a new one tells of a new machine
+
+    def close(self) -> None: ...
+
+
+LinkMaker = Callable[[str, Address], ClosableLink | None]
+
+
+class Router:
+    """What every router has. Fronts are added as parts, other protocols of switches as link makers."""
+
+    def __init__(
+        self,
+        config: Config,
+        reader: Reader,
+        loop: asyncio.AbstractEventLoop,
+        heir: Front | None = None,
+        share: ColdShare | None = None,
+    ) -> None:
+        """`heir` hears the end of calls that an earlier run left; `share` is that of all routers here."""
+        self.config = config
+        self.reader = reader
+        self.loop = loop
+        self.random = Random(config.seed)
+        self.links: dict[str, SwitchLink] = {}
+        agent = CallAgent(with_margin(config.settings, RELEASE_MARGIN_US), config.seed)
+        turn_share = None if share is None else share.join(config.name, config.settings)
+        self.ledger = Ledger(config.settings, config.classes, agent, self.links, heir, turn_share)
+        self.turn = Turn(loop, self.ledger)
+        self.changes = ChangeLog(config.changelog, reader, 0, self.tell, self.random)
+        self.peers: dict[str, ClosableLink] = {}
+        self.parts: list[Part] = []
+        self.makers: list[LinkMaker] = []
+        self.closing = False
+        self.ready = asyncio.Event()
+        self.stop = asyncio.Event()
+
+    def add(self, *parts: Part) -> None:
+        self.parts += parts
+
+    def use(self, maker: LinkMaker) -> None:
+        """Asks `maker` for the link to a switch before those asked for so far; None leaves it to them."""
+        self.makers.insert(0, maker)
+
+    def post(self, item: Input) -> None:
+        self.turn.post(item)
+
+    # Switches
+
+    def tell(self, change: Change) -> None:
+        if change.listed.kind is api.ListKind.FULL:
+            for exchange in self.peers.keys() - {entry.exchange for entry in change.listed.entries}:
+                self.drop(exchange)
+        for entry in change.listed.entries:
+            address = change.addresses.get(entry.exchange)
+            if entry.state is api.State.GONE:
+                self.drop(entry.exchange)
+            elif entry.number != self.config.settings.own_exchange and address is not None:
+                known = self.peers.get(entry.exchange)
+                if known is None or known.address != address:
+                    self.drop(entry.exchange)
+                    link = self.make_link(entry.exchange, address)
+                    self.links[entry.exchange] = self.peers[entry.exchange] = link
+        log.info("list", extra={"seq": change.seq, "hosts": len(change.listed.entries)})
+        self.turn.post(change.listed)
+
+    def drop(self, exchange: str) -> None:
+        self.links.pop(exchange, None)
+        link = self.peers.pop(exchange, None)
+        if link is not None:
+            link.close()
+
+    def make_link(self, exchange: str, address: Address) -> ClosableLink:
+        """The link that speaks the switch's protocol: JSON lines, unless a maker knows better."""
+        made = (maker(exchange, address) for maker in self.makers)
+        other = next((link for link in made if link is not None), None)
+        if other is not None:
+            return other
+        return PeerLink(exchange, address, self, self.ledger, self.config.connect_s, self.random)
+
+    # Life
+
+    async def open(self) -> None:
+        """Opens the links to the switches known and then the fronts. Raises OSError if one can't listen."""
+        for change in self.config.known:
+            self.changes.seq = change.seq
+            self.tell(change)
+        self.changes.start()
+        for part in self.parts:
+            await part.open()
+        self.ready.set()
+
+    async def run(self) -> None:
+        """Serves until `stop` is set, then shuts down."""
+        await self.open()
+        await self.stop.wait()
+        await self.shut_down()
+
+    async def shut_down(self) -> None:
+        """Takes calls a little longer, answers them all, and waits for those that stand.
+
+        What still stands then goes on: the next run at this address hears of its end and tells the caller.
+        """
+        log.info("stopping", extra={"owed": self.ledger.owed(), "calls": len(self.ledger.records)})
+        begun = self.loop.time()
+        self.closing = True
+        for part in self.parts:
+            part.wind_down()
+        await asyncio.sleep(ACCEPT_S)
+        for part in self.parts:
+            part.refuse_all()
+        longest = max(kind.deadline_ns for kind in self.config.settings.classes) / 1e9
+        end = begun + ACCEPT_S + max(longest, KILL_AFTER_S) - KILL_MARGIN_S
+        await self.until(lambda: not self.ledger.records, end)
+        await self.finish(end + KILL_MARGIN_S / 2)
+
+    async def finish(self, end: float) -> None:
+        """Ends what can't stand without us, and closes everything."""
+        self.ledger.release_bound()
+        standing = len(self.ledger.records)
+        for exchange in list(self.peers):
+            self.drop(exchange)
+        await self.until(lambda: all(part.told_all() for part in self.parts), end)
+        for part in self.parts:
+            part.close()
+        await asyncio.sleep(SETTLE_S)
+        log.info("stopped", extra={"owed": self.ledger.owed(), "standing": standing})
+        self.changes.stop()
+        self.turn.close()
+
+    async def until(self, holds: Callable[[], bool], end: float) -> None:
+        while not holds() and self.loop.time() < end:
+            await asyncio.sleep(POLL_S)
--- a/rowanmast/config.py
+++ b/rowanmast/config.py
@@ -1,9 +1,8 @@
-"""The configuration files: what PROXY_CONFIG and ROWANMAST_IAX2 name."""
+"""The platform's configuration: what PROXY_CONFIG names. Our own settings are read in `options`."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from ipaddress import IPv4Address
 from typing import Any
 
 import ujson
@@ -33,17 +32,28 @@
 
 
 def read_config(path: str | None, reader: Reader) -> Config:
+    """The configuration in a file. Raises ConfigError with one line that names the file."""
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            config: dict[str, Any] = ujson.loads(file.read())
+            document = ujson.loads(file.read())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return check_config(document, reader, path)
+
+
+def check_config(config: Any, reader: Reader, source: str = "configuration") -> Config:
+    """The configuration in a decoded document of the same form; `source` names it in errors."""
+    try:
         info = config["settings"]
         settings = read_settings(info)
         if not settings.classes:
-            raise ConfigError(f"{path}: settings hold no classes of call")
+            raise ConfigError(f"{source}: settings hold no classes of call")
         return Config(
-            path=path,
+            path=source,
             name=str(config["name"]),
             listen=read_address(config["listen"]),
             seed=int(config["seed"], 16),
@@ -54,12 +64,10 @@
             classes=index_names(info["services"]),
             connect_s=(number(section(info, "limits").get("connect_timeout_ns")) or 5e8) / 1e9,
         )
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except (ListError, ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
     except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from None
+        raise ConfigError(f"{source}: {error} is missing") from None
+    except (ListError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{source}: {error}") from None
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,36 +86,3 @@
     listen: tuple[str, int]
     peer: tuple[str, int]
     parameters: vrrp.Parameters
-
-
-def read_pair(config: dict[str, Any]) -> PairConfig:
-    parameters = vrrp.Parameters(
-        vrid=int(config["vrid"]),
-        priority=int(config["priority"]),
-        address=str(IPv4Address(config["address"])),
-        interval=int(config.get("interval_cs", 100)),
-        preempt=bool(config.get("preempt", True)),
-    )
-    if not (1 <= parameters.vrid <= 255 and 1 <= parameters.priority <= vrrp.OWNER):
-        raise ValueError("vrid and priority lie between 1 and 255")
-    if not 1 <= parameters.interval <= 4095:
-        raise ValueError("interval_cs lies between 1 and 4095")
-    return PairConfig(read_address(config["listen"]), read_address(config["peer"]), parameters)
-
-
-def read_iax_config(path: str | None) -> IaxConfig | None:
-    """The file that ROWANMAST_IAX2 names; without it, no IAX2."""
-    if not path:
-        return None
-    try:
-        with open(path, "rb") as file:
-            config = ujson.loads(file.read())
-        switches = {str(name): read_address(at) for name, at in config.get("switches", {}).items()}
-        pair = read_pair(config["vrrp"]) if "vrrp" in config else None
-        return IaxConfig(read_address(config["listen"]), switches, pair)
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from None
-    except (ListError, ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"{path}: {error}") from None
--- /dev/null
+++ b/rowanmast/core/coldshare.py
@@ -0,0 +1,128 @@
+"""How the routers of one process divide what a cold switch may be sent: no clock, no sockets, no randomness.
+
+Every router keeps to a share of its own, judged from what it sends to warm switches (the module's
+`has_budget`). Two routers in one process stand in for one, so together they may send a cold switch no more
+than that one would: each copy would round its share up to a set-up, and each would start its count anew.
+The account here is kept over all of them: the rate at which together they send to a warm switch, one credit
+for all cold switches, and a window for each. Within the window the copies that ask share alike, so that a
+busy one can't starve the others. Times are microseconds of the monotonic clock.
+
+The copies run on threads of their own, so each question takes a lock, held for some microseconds.
+"""
+
+from __future__ import annotations
+
+import math
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+
+from rowanmast import interface as api
+
+SECOND = 1_000_000
+NS = 1000
+COUNTED = 2 * SECOND  # span over which set-ups to warm switches are counted
+WEIGHT = 0.3  # of a new count in the smoothed rate
+SAFETY = 0.8  # share of a cold switch's budget that is used, as in the decision module
+HEADROOM = 2.0  # a warm switch takes at least twice what one router sends it
+
+
+@dataclass(slots=True)
+class Window:
+    """What went to one cold switch of late."""
+
+    cold_until: int
+    sent: deque[tuple[int, str]] = field(default_factory=deque)  # when, by which router
+    asked: dict[str, int] = field(default_factory=dict)  # when each router last asked
+
+    def forget(self, now: int, span: int) -> None:
+        while self.sent and now - self.sent[0][0] >= span:
+            self.sent.popleft()
+        for name in [name for name, at in self.asked.items() if now - at >= span]:
+            del self.asked[name]
+
+
+class ColdShare:
+    """One account for all routers of a process. Give the same one to each of them."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.members: dict[str, int] = {}  # names of the routers: how often joined
+        self.windows: dict[str, Window] = {}
+        self.each = 0.0  # set-ups a second to one warm switch, by all together, smoothed
+        self.count, self.since = 0, 0
+        self.credit, self.fed = 0.0, 0
+
+    def join(self, name: str, settings: api.Settings) -> Member:
+        """The side of one router; names tell the copies apart. Raises ValueError for one that is in use."""
+        with self.lock:
+            if name in self.members:
+                raise ValueError(f"a router named {name!r} shares already")
+            self.members[name] = 1
+        return Member(self, name, settings)
+
+    def leave(self, name: str) -> None:
+        with self.lock:
+            self.members.pop(name, None)
+            for window in self.windows.values():
+                window.asked.pop(name, None)  # what it sent still counts
+
+    def note(self, now: int, others: int) -> None:
+        """Counts one set-up that leaves, among `others` switches that take them."""
+        self.since = self.since or now
+        self.count += 1
+        past = now - self.since
+        if past >= COUNTED:
+            each = self.count * SECOND / past / max(others, 1)
+            self.each += (each - self.each) * (WEIGHT if self.each else 1.0)
+            self.count, self.since = 0, now
+
+    def grant(self, now: int, name: str, settings: api.Settings, exchange: str, cold_until: int) -> bool:
+        """Whether this router may send one set-up to a cold switch now; if so, it counts as sent."""
+        for key in [key for key, window in self.windows.items() if now >= window.cold_until]:
+            del self.windows[key]
+        if not self.windows:  # routers of other processes start at other parts of a set-up
+            self.credit = (settings.own_agent + 0.5) / max(settings.agents, 1) % 1.0
+            self.fed = now
+        window = self.windows.setdefault(exchange, Window(cold_until))
+        window.cold_until = cold_until
+        span = max(settings.fall_ns // NS, 1)
+        window.forget(now, span)
+        window.asked[name] = now
+        takes = HEADROOM * self.each * settings.cold_from * settings.fall_multiple * SAFETY / SECOND
+        rate = takes * len(self.windows)
+        self.credit = min(self.credit + rate * (now - self.fed), max(rate * span, 1.0))
+        self.fed = max(now, self.fed)
+        most = max(HEADROOM * takes * span, 1.0)
+        if self.credit < 1.0 or len(window.sent) >= most:
+            return False
+        own = sum(sender == name for _, sender in window.sent)
+        if own >= math.ceil(most / len(window.asked)):
+            return False
+        self.credit -= 1.0
+        window.sent.append((now, name))
+        return True
+
+
+class Member:
+    """One router's side of the account."""
+
+    def __init__(self, share: ColdShare, name: str, settings: api.Settings) -> None:
+        self.share = share
+        self.name = name
+        self.settings = settings
+
+    def may_send(self, now: int, entry: api.ListEntry, others: int) -> bool:
+        """Asked before each set-up; `others` counts the switches up besides the own. A yes counts as sent."""
+        started = entry.started_ns
+        cold = started is not None and now * NS - started < self.settings.cold_ns
+        with self.share.lock:
+            if cold and started is not None:
+                until = (started + self.settings.cold_ns) // NS
+                if not self.share.grant(now, self.name, self.settings, entry.exchange, until):
+                    return False
+            self.share.note(now, others)
+            return True
+
+    def leave(self) -> None:
+        self.share.leave(self.name)
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -16,6 +16,7 @@
 from rowanmast import interface as api
 from rowanmast.causes import NORMAL_CLEARING, TEMPORARY_FAILURE
 from rowanmast.control import CallAgent
+from rowanmast.core.coldshare import Member
 from rowanmast.core.ports import (
     NO_REPORT,
     Answered,
@@ -38,6 +39,7 @@
 GONE = NoLink()
 SPARE_DUES = 64  # entries of the timer heap that may be stale before it is cleared of them
 PAST_US = 10_000_000  # a switch's release may cross ours, or come twice, within this time
+LAG_US = 5_000  # a turn that took longer to let its bytes leave moves the waits that begin with them
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 Item = TypeVar("Item")
@@ -70,12 +72,14 @@
         agent: CallAgent,
         links: Links,
         heir: Front | None = None,
+        share: Member | None = None,
     ) -> None:
         self.settings = settings
         self.classes = classes
         self.agent = agent
         self.links = links
         self.heir = heir  # hears the end of calls that an earlier run left standing
+        self.share = share  # of cold switches, where this process has further routers
         self.records: dict[str, Record] = {}
         self.listed: dict[str, api.ListEntry] = {}
         self.dues: list[tuple[int, int, Due]] = []
@@ -86,11 +90,15 @@
         self.over: list[str] = []  # calls to be forgotten when the turn ends
         self.past: OrderedDict[str, int] = OrderedDict()  # calls that are over: since when
         self.now = 0
+        self.freed: list[Record] = []  # whose release is awaited from this turn on
+        self.turn_serial = 0  # of the first entry of the timer heap made in this turn
 
     # The turn
 
     def turn(self, now: int, inputs: Iterable[Input]) -> None:
         self.now = now
+        self.freed.clear()
+        self.turn_serial = self.serial
         for item in inputs:
             self.shielded(self.take, item)
         self.expire()
@@ -118,6 +126,22 @@
             for action in actions:
                 self.shielded(self.carry_out, action)
 
+    def left_by(self, now: int) -> None:
+        """The bytes of the last turn have left by now: waits for a release count from when they did.
+
+        Where a host holds the interpreter, a turn may stop anywhere for hundreds of milliseconds.
+        """
+        lag = now - self.now
+        if lag > LAG_US:
+            for record in self.freed:
+                record.not_before += lag
+            self.dues = [
+                (due + lag if at > self.turn_serial and isinstance(item, api.TimerDue) else due, at, item)
+                for due, at, item in self.dues
+            ]
+            heapq.heapify(self.dues)
+        self.freed.clear()
+
     def next_due(self) -> int | None:
         return self.dues[0][0] if self.dues else None
 
@@ -332,6 +356,7 @@
         assert out is not None
         if outcome in UNPROVEN:
             record.not_before = self.now + self.settings.release_ns // NS
+            self.freed.append(record)
         self.ended(out, outcome, cause, report, record.answered)
 
     def ended(
@@ -433,6 +458,10 @@
                 log.warning("set_up_held_back", extra={"call": offer.call, "why": broken})
             self.ended(attempt, api.Outcome.NOT_SENT, None, NO_REPORT, record.answered)
             return
+        if not self.within_share(action.exchange):  # as with no circuit: another way may have room
+            cause = api.Cause.NO_CIRCUIT
+            self.ended(attempt, api.Outcome.NOT_SENT, cause, NO_REPORT, record.answered)
+            return
         record.out = attempt
         self.at(due, attempt)
         self.link(action.exchange).set_up(attempt)
@@ -456,6 +485,12 @@
             return "transit_elsewhere"
         return None
 
+    def within_share(self, exchange: str) -> bool:
+        """Whether the routers of this process together may send the switch one more set-up."""
+        if self.share is None:
+            return True
+        return self.share.may_send(self.now, self.listed[exchange], len(self.listed) - 1)
+
 
 def with_margin(settings: api.Settings, margin_us: int) -> api.Settings:
     """The settings for the module of a real router: it awaits a release a little longer than the rule says.
--- a/rowanmast/iax2/endpoint.py
+++ b/rowanmast/iax2/endpoint.py
@@ -181,6 +181,12 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(frames.write(frame), address)
 
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+
     def sweep(self) -> None:
         now = self.clock()
         for leg in list(self.legs.values()):
--- /dev/null
+++ b/rowanmast/lab/demo.py
@@ -0,0 +1,179 @@
+"""The demonstration: one router on loopback, with toy switches and a toy station, and its calls' ends."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from rowanmast.app.daemon import Daemon
+from rowanmast.config import check_config
+from rowanmast.lab.town import Counts, ToyChangeLog, ToyStation, ToySwitch, host_entry, poisson
+from rowanmast.net.changelog import Reader
+
+KLASS = "item-lookup"
+WAIT_S = 1.5
+TICK_S = 0.25
+OWN = 0  # the number of the router's own switch
+SETTLE_S = 8.0  # at most, for the calls that still stand at the end
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to show: a town of `switches` toys, `rate` calls a second in the mean, for `seconds`."""
+
+    seconds: float = 5.0
+    rate: float = 60.0
+    switches: int = 5
+    circuits: int = 30
+    hold_s: float = 1.5
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    counts: Counts
+    transited: int
+    by_switch: list[tuple[str, int, int, int]]  # name, circuits, calls taken, calls passed on
+
+    def delay_ms(self, share: float) -> float:
+        """The set-up delay that this share of the calls that stood stayed under, in milliseconds."""
+        delays = sorted(self.counts.delays)
+        if not delays:
+            return 0.0
+        return delays[min(int(share * len(delays)), len(delays) - 1)] * 1000
+
+    def mean_ms(self) -> float:
+        return statistics.fmean(self.counts.delays) * 1000 if self.counts.delays else 0.0
+
+
+def settings_document() -> dict[str, Any]:
+    """Settings of a site like a small one of ours, in the platform's form."""
+    second = 1_000_000_000
+    return {
+        "balancers": 1,
+        "my_number": 0,
+        "period_ns": second // 200,
+        "discovery": "automatic",
+        "services": [
+            {
+                "name": KLASS,
+                "credit": 1.0,
+                "late_worth": 0.25,
+                "objective_ns": 1_500_000_000,
+                "hard_limit_ns": 9 * second,
+                "idempotency": "safe",
+                "key_scope": "all",
+                "window_ns": 5 * second,
+            }
+        ],
+        "family_info": {
+            "self_no": OWN,
+            "network_form": "meshed",
+            "guard_ns": second // 5,
+            "t1_ns": second // 2,
+            "widths": [1],
+            "class_hold_ns": [1_500_000_000],
+        },
+        "guarantees": {
+            "ask_within_ns": 10 * second,
+            "grace_to_answer_ns": second // 50,
+            "drain_grace_ns": 2 * second,
+            "cold_from": 0.34,
+            "cold_ns": 14 * second,
+            "fall_multiple": 2.0,
+            "tip_after_ns": second,
+        },
+        "limits": {
+            "cancel": True,
+            "connect_timeout_ns": second // 2,
+            "max_attempts": 6,
+            "probes": True,
+            "retry_after": True,
+            "max_retry_after_ns": 2 * second,
+        },
+    }
+
+
+def document(listen: tuple[str, int], changelog: tuple[str, int], seed: int) -> dict[str, Any]:
+    """A configuration as the platform would hand it over, for a router of switch 0."""
+    return {
+        "name": "demo",
+        "listen": "{}:{}".format(*listen),
+        "seed": f"{seed:x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "changelog": "{}:{}".format(*changelog),
+        "known": {"seq": 0, "results": []},
+        "settings": settings_document(),
+    }
+
+
+async def free_port() -> tuple[str, int]:
+    """An address of loopback that is free now."""
+    server = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
+    address: tuple[str, int] = server.sockets[0].getsockname()[:2]
+    server.close()
+    await server.wait_closed()
+    return address
+
+
+async def show(plan: Plan, progress: Callable[[float, Counts], None]) -> Result:
+    """Runs the town; `progress` hears the time past and the counts so far, some times a second."""
+    loop = asyncio.get_running_loop()
+    random = Random(plan.seed)
+    switches = [
+        ToySwitch(
+            f"toy-{number}",
+            number,
+            circuits=plan.circuits if number % 2 else plan.circuits // 2,  # some groups are short
+            hold_s=plan.hold_s,
+            seed=plan.seed,
+        )
+        for number in range(1, plan.switches + 1)
+    ]
+    changes = ToyChangeLog()
+    await changes.start()
+    for switch in switches:
+        await switch.start()
+        switch.town = {other.number: other for other in switches}
+    changes.add(True, *map(host_entry, switches))
+    listen = await free_port()
+    router = Daemon(
+        check_config(document(listen, changes.address, plan.seed), Reader()), None, Reader(), loop
+    )
+    running = loop.create_task(router.run())
+    try:
+        await asyncio.wait_for(router.ready.wait(), 5)
+        await router.until(lambda: len(router.peers) == len(switches), loop.time() + 2)
+        _, station = await loop.create_connection(lambda: ToyStation(KLASS, WAIT_S), *listen)
+        begun = loop.time()
+        numbers = [switch.number for switch in switches]
+        offering = loop.create_task(
+            poisson(
+                plan.rate,
+                plan.seconds,
+                random,
+                lambda: station.dial(random.choice(numbers)),
+                running.done,
+            )
+        )
+        while not offering.done():
+            progress(loop.time() - begun, station.counts)
+            await asyncio.wait([offering], timeout=TICK_S)
+        await offering
+        counts = station.counts
+        await router.until(
+            lambda: not station.open and counts.released >= counts.stood, loop.time() + SETTLE_S
+        )
+        progress(plan.seconds, counts)
+    finally:
+        router.stop.set()
+        await running
+        changes.stop()
+        for switch in switches:
+            switch.stop()
+    by_switch = [(one.name, one.circuits, one.tally.taken, one.tally.tandem) for one in switches]
+    return Result(counts, sum(one.tally.tandem for one in switches), by_switch)
--- a/rowanmast/net/logs.py
+++ b/rowanmast/net/logs.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 
+EMBEDDED = "rowanmast:"  # the threads of embedded routers are named so, followed by the router's name
 PLAIN = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -24,12 +25,25 @@
             "part": record.name.removeprefix("rowanmast."),
             "event": record.getMessage(),
         }
+        if (record.threadName or "").startswith(EMBEDDED):
+            pairs["router"] = str(record.threadName).removeprefix(EMBEDDED)
         pairs |= {key: value for key, value in vars(record).items() if key not in PLAIN}
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={quoted(value)}" for key, value in pairs.items())
 
 
+class OfRouter(logging.Filter):
+    """Lets through the lines of one embedded router, for a handler of its own."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self.thread = EMBEDDED + name
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        return record.threadName == self.thread
+
+
 def set_up(name: str) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
--- /dev/null
+++ b/rowanmast/options/__init__.py
@@ -0,0 +1,1 @@
+"""Our own settings: one checked file in protobuf text format."""
--- /dev/null
+++ b/rowanmast/options/reader.py
@@ -0,0 +1,153 @@
+"""Reads and checks our own settings; an error names file, line, field and what would be right."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from ipaddress import AddressValueError, IPv4Address
+
+from google.protobuf import text_format
+
+from rowanmast import vrrp
+from rowanmast.config import ConfigError, IaxConfig, PairConfig
+from rowanmast.embed.admission import Bounds
+from rowanmast.options import settings_pb2 as schema
+
+MAX_FILE = 1024 * 1024  # bytes; a settings file is some lines
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Our own settings, checked."""
+
+    iax: IaxConfig | None
+    bounds: Bounds
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """A settings file's text, to say where in it a field stands."""
+
+    name: str
+    text: str
+
+    def error(self, field: str, wrong: str) -> ConfigError:
+        """`field` as in iax.switches[1].address; the line is that of the field, or of what should hold it."""
+        lines = dict(locate(self.text))
+        at = field
+        while at and at not in lines:
+            at = at.rpartition(".")[0]
+        return ConfigError(f"{self.name}:{lines.get(at, 1)}: {field}: {wrong}")
+
+
+def locate(text: str) -> Iterator[tuple[str, int]]:
+    """Each field's path and line. The text has been parsed before, so its form is right."""
+    tokens = text_format.Tokenizer(text.splitlines())
+    stack: list[tuple[str, dict[str, int]]] = [("", {})]
+    name, line = "", 1
+    while not tokens.AtEnd():
+        token = tokens.token
+        prefix, seen = stack[-1]
+        if token in ("{", "<"):
+            stack.append((f"{name}.", {}))
+        elif token in ("}", ">"):
+            stack.pop()
+        elif token.isidentifier() and not tokens.token.startswith(('"', "'")):
+            error = tokens.ParseError("")  # type: ignore[arg-type]  # the stub errs: it takes a text
+            line = error.GetLine() or 1  # the tokenizer tells it only in errors
+            tokens.NextToken()
+            if tokens.token in (":", "{", "<"):
+                count = seen[token] = seen.get(token, -1) + 1
+                name = f"{prefix}{token}"
+                yield f"{name}[{count}]", line
+                if count == 0:
+                    yield name, line
+                name = f"{name}[{count}]" if token == "switches" else name
+            continue
+        tokens.NextToken()
+
+
+def read_options(path: str) -> Options:
+    """The settings in a file. Raises ConfigError."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read(MAX_FILE + 1)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise ConfigError(f"{path}: not UTF-8 text") from None
+    if len(text) > MAX_FILE:
+        raise ConfigError(f"{path}: over 1 MiB")
+    return parse_options(text, path)
+
+
+def parse_options(text: str, name: str = "settings") -> Options:
+    """The settings in a text; `name` stands for the file in errors. Raises ConfigError."""
+    message = schema.Settings()
+    try:
+        text_format.Parse(text, message)
+    except text_format.ParseError as error:
+        line, words = error.GetLine() or 1, str(error)
+        words = words.partition(" : ")[2] or words
+        raise ConfigError(f"{name}:{line}: {words.strip()}") from None
+    source = Source(name, text)
+    iax = read_iax(message.iax, source) if message.HasField("iax") else None
+    return Options(iax, read_bounds(message.embedded, source))
+
+
+def read_iax(iax: schema.Iax, source: Source) -> IaxConfig:
+    switches: dict[str, Address] = {}
+    for at, switch in enumerate(iax.switches):
+        field = f"iax.switches[{at}]"
+        if not switch.exchange:
+            raise source.error(f"{field}.exchange", "is missing: the switch's name in the change log")
+        if switch.exchange in switches:
+            raise source.error(f"{field}.exchange", f"{switch.exchange!r} stands here a second time")
+        switches[switch.exchange] = address(switch.address, f"{field}.address", source)
+    pair = read_pair(iax.vrrp, source) if iax.HasField("vrrp") else None
+    return IaxConfig(address(iax.listen, "iax.listen", source), switches, pair)
+
+
+def read_pair(pair: schema.Vrrp, source: Source) -> PairConfig:
+    interval = pair.interval_cs if pair.HasField("interval_cs") else 100
+    for field, value, most in (("vrid", pair.vrid, 255), ("priority", pair.priority, vrrp.OWNER)):
+        if not 1 <= value <= most:
+            raise source.error(f"iax.vrrp.{field}", f"{value} does not lie between 1 and {most}")
+    if not 1 <= interval <= 4095:
+        raise source.error("iax.vrrp.interval_cs", f"{interval} does not lie between 1 and 4095")
+    try:
+        virtual = str(IPv4Address(pair.address))
+    except AddressValueError:
+        raise source.error("iax.vrrp.address", f"{pair.address!r} is no IPv4 address") from None
+    return PairConfig(
+        address(pair.listen, "iax.vrrp.listen", source),
+        address(pair.peer, "iax.vrrp.peer", source),
+        vrrp.Parameters(
+            vrid=pair.vrid,
+            priority=pair.priority,
+            address=virtual,
+            interval=interval,
+            preempt=pair.preempt if pair.HasField("preempt") else True,
+        ),
+    )
+
+
+def read_bounds(embedded: schema.Embedded, source: Source) -> Bounds:
+    usual = Bounds()
+    max_open = embedded.max_open if embedded.HasField("max_open") else usual.max_open
+    standing = embedded.max_standing if embedded.HasField("max_standing") else usual.max_standing
+    collect = embedded.collect_ms * 1000 if embedded.HasField("collect_ms") else usual.collect_us
+    figures = (("max_open", max_open), ("max_standing", standing), ("collect_ms", collect))
+    for field, value in figures:
+        if value < 1:
+            raise source.error(f"embedded.{field}", "0 leaves no room: give 1 or more")
+    return Bounds(max_open=max_open, max_standing=standing, collect_us=collect)
+
+
+def address(text: str, field: str, source: Source) -> Address:
+    """host:port, with a port from 1 to 65535."""
+    host, _, port = text.rpartition(":")
+    if not (host and port.isascii() and port.isdigit() and 1 <= int(port) <= 65535):
+        raise source.error(field, f"{text!r} is no address: give host:port, as in 127.0.0.1:4569")
+    return host, int(port)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
+from typing import Any
+
+import pytest
 
 from rowanmast.control import CallAgent
 from rowanmast.interface import (
@@ -24,6 +28,8 @@
     State,
 )
 
+THREE_WAYS = ("test_paths",)  # modules whose tests run against every way to hold a router
+
 MS = 1_000_000
 SECOND = 1000 * MS
 PLAIN = CallClass(
@@ -138,3 +144,21 @@
 
 def sent_to(actions: list[Action]) -> list[str]:
     return [action.exchange for action in actions if isinstance(action, SetUp)]
+
+
+def pytest_generate_tests(metafunc: Any) -> None:
+    from modes import MODES
+
+    if metafunc.module.__name__ in THREE_WAYS:
+        metafunc.parametrize("router_mode", MODES, indirect=True)
+
+
+@pytest.fixture(autouse=True)
+def router_mode(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
+    """Chooses how the routers of the test's towns are held: in its loop, embedded or as a process."""
+    mode = getattr(request, "param", "in-process")
+    if mode != "in-process":
+        from standins import Town
+
+        monkeypatch.setattr(Town, "mode", mode)
+    yield mode
--- /dev/null
+++ b/tests/modes.py
@@ -0,0 +1,338 @@
+"""Three ways to hold the router that a path test runs against: in the test's loop, embedded, as a process.
+
+The tests know none of them: they talk to sockets, and look inside only through `Town.router`. What looks
+inside a router in another process is skipped there, by name.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from rowanmast import interface as api
+from rowanmast.config import Config, IaxConfig
+from rowanmast.embed import (
+    CallRequest,
+    EmbeddedRouter,
+    EndedBy,
+    Failed,
+    Failure,
+    Refused,
+    RequestError,
+    StandingCall,
+    Stands,
+)
+from rowanmast.net import sip
+from rowanmast.routes import figure, read_route
+
+MODES = ("in-process", "embedded", "daemon")
+ROOT = Path(__file__).resolve().parent.parent
+STATUS = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500, Failure.UNFIT: 400}
+PLAIN = (str, int, float, bool, type(None))
+
+
+class HostGateway(asyncio.Protocol):
+    """A host application that takes SIP calls and places them by the library: one connection of it."""
+
+    def __init__(self, router: EmbeddedRouter) -> None:
+        self.router = router
+        self.parser = sip.Parser()
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.standing: dict[str, StandingCall] = {}
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        for call, task in list(self.tasks.items()):
+            if call not in self.standing:
+                task.cancel()
+
+    def write(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        for message in self.parser.feed(data):
+            if message.method == "INVITE":
+                served = asyncio.get_running_loop().create_task(self.serve(message))
+                self.tasks[message.call_id] = served
+                served.add_done_callback(lambda _, call=message.call_id: self.tasks.pop(call, None))
+            elif message.method == "CANCEL":
+                self.write(sip.respond(message, 200))
+                if message.call_id in self.tasks:
+                    self.tasks[message.call_id].cancel()
+            elif message.method == "BYE":
+                self.write(sip.respond(message, 200))
+                if message.call_id in self.standing:
+                    self.standing[message.call_id].release()
+
+    async def serve(self, invite: sip.Message) -> None:
+        try:
+            outcome = await self.router.place(read_request(invite))
+        except (RequestError, ValueError):
+            self.write(sip.respond(invite, 400))
+            return
+        except asyncio.CancelledError:
+            self.write(sip.respond(invite, 487))
+            raise
+        match outcome:
+            case Stands():
+                call = self.standing[invite.call_id] = outcome.call
+                self.write(sip.respond(invite, 200, body=call.text.encode()))
+                ending = await call.over()
+                del self.standing[invite.call_id]
+                if ending.by is not EndedBy.HOST:
+                    self.write(sip.bye(invite.call_id, ending.cause))
+            case Refused():
+                self.write(sip.respond(invite, 503, (("Retry-After", str(outcome.retry_after)),)))
+            case Failed():
+                self.write(sip.respond(invite, STATUS[outcome.why]))
+
+
+def read_request(invite: sip.Message) -> CallRequest:
+    route = read_route(invite.get("x-route"))
+    return CallRequest(
+        number=invite.user,
+        dest=route.dest,
+        klass=invite.get("x-service"),
+        wait_s=figure(invite.get("x-setup-ms")) / 1000,
+        text=invite.body.decode(),
+        width=route.width,
+        advised=route.via,
+        transit=route.transit,
+    )
+
+
+class Across:
+    """Something that lives on the router's thread: every look and call from the test goes there."""
+
+    def __init__(self, thing: Any, embedded: EmbeddedRouter) -> None:
+        object.__setattr__(self, "_thing", thing)
+        object.__setattr__(self, "_embedded", embedded)
+
+    def _there(self, step: Any) -> Any:
+        thread, loop = self._embedded.thread, self._embedded.desk.loop
+        if loop is None or threading.current_thread() is thread:
+            return self._wrap(step())
+        done: concurrent.futures.Future[Any] = concurrent.futures.Future()
+
+        def run() -> None:
+            try:
+                done.set_result(step())
+            except Exception as error:
+                done.set_exception(error)
+
+        loop.call_soon_threadsafe(run)
+        return self._wrap(done.result(5))
+
+    def _wrap(self, value: Any) -> Any:
+        return value if isinstance(value, PLAIN) else Across(value, self._embedded)
+
+    def __getattr__(self, name: str) -> Any:
+        return self._there(lambda: getattr(self._thing, name))
+
+    def __call__(self, *arguments: Any) -> Any:
+        return self._there(lambda: self._thing(*arguments))
+
+    def __iter__(self) -> Any:
+        return iter([self._wrap(item) for item in list(self._thing)])
+
+    def __contains__(self, item: Any) -> bool:
+        return bool(self._there(lambda: item in self._thing))
+
+    def __getitem__(self, key: Any) -> Any:
+        return self._there(lambda: self._thing[key])
+
+    def __bool__(self) -> bool:
+        return bool(self._there(lambda: bool(self._thing)))
+
+    def __eq__(self, other: object) -> bool:
+        return bool(self._thing == other)
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+class Embedded:
+    """An embedded router behind a host application that speaks SIP."""
+
+    def __init__(self, config: Config, iax: IaxConfig | None) -> None:
+        self.listen = config.listen
+        self.embedded = EmbeddedRouter(config, iax=iax)
+        self.stop = asyncio.Event()
+        self.ready = asyncio.Event()
+
+    async def run(self) -> None:
+        async with self.embedded:
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(lambda: HostGateway(self.embedded), *self.listen)
+            self.ready.set()
+            await self.stop.wait()
+            server.close()
+
+    @property
+    def iax_front(self) -> Any:
+        part = self.embedded.router.parts[0]  # type: ignore[union-attr]
+        return Across(part.front, self.embedded)  # type: ignore[attr-defined]
+
+    @property
+    def pair(self) -> Any:
+        return Across(self.embedded.router.parts[0].pair, self.embedded)  # type: ignore[union-attr, attr-defined]
+
+    def takes_iax(self) -> bool:
+        return bool(self.embedded.router.parts[0].takes_new())  # type: ignore[union-attr, attr-defined]
+
+    def __getattr__(self, name: str) -> Any:
+        if name == "config":
+            pytest.skip("the calls of an embedded router end with its host: none stands on over a restart")
+        return Across(getattr(self.embedded.router, name), self.embedded)
+
+
+class DaemonProcess:
+    """The daemon as the platform starts it; what it knows is read from its log."""
+
+    def __init__(self, document: dict[str, Any], options: str, changes: Any) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        folder = Path(self.folder.name)
+        (folder / "config.json").write_text(json.dumps(document))
+        (folder / "settings.txtpb").write_text(options)
+        self.environment = {
+            **os.environ,
+            "PROXY_CONFIG": str(folder / "config.json"),
+            "ROWANMAST_SETTINGS": str(folder / "settings.txtpb"),
+        }
+        self.changes = changes
+        self.lines: list[str] = []
+        self.stop = asyncio.Event()
+        self.ready = asyncio.Event()
+        self.peers: dict[str, Any] = {}
+        self.ledger = SimpleNamespace(owed=self.owed, is_up=self.is_up)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        process = subprocess.Popen(
+            [sys.executable, "-m", "rowanmast"],
+            cwd=ROOT,
+            env=self.environment,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        assert process.stderr is not None
+        reading = loop.run_in_executor(None, self.read, process.stderr, loop)
+        try:
+            await self.stop.wait()
+            process.terminate()
+            await asyncio.wait_for(reading, 15)
+            assert process.wait(5) == 0
+        finally:
+            process.kill()
+            process.wait()
+            self.folder.cleanup()
+        assert not any("level=error" in line for line in self.lines), self.lines
+
+    def read(self, stream: Any, loop: Any) -> None:
+        for line in stream:
+            self.lines.append(line)
+            if "event=ready" in line:
+                loop.call_soon_threadsafe(self.ready.set)
+
+    def owed(self) -> int:
+        (last,) = (line for line in self.lines if "event=stopped" in line)
+        return int(last.partition("owed=")[2].split()[0])
+
+    @property
+    def listed(self) -> dict[str, api.State]:
+        told = [line.partition("seq=")[2].split()[0] for line in self.lines if "event=list" in line]
+        states: dict[str, api.State] = {}
+        for event in self.changes.events[: max(map(int, told), default=0)]:
+            for one in event["fleet"]["hosts"]:
+                states[one["host"]] = {"ready": api.State.UP}.get(one["health"], api.State.DRAINING)
+        return states
+
+    def is_up(self, exchange: str) -> bool:
+        return self.listed.get(exchange) is api.State.UP
+
+    def __getattr__(self, name: str) -> Any:
+        pytest.skip(f"looks at {name} inside the router, which is another process here")
+
+
+def settings_document(settings: api.Settings, names: list[str]) -> dict[str, Any]:
+    """The platform's form of the settings: what `read_settings` reads them from."""
+    services = [
+        {
+            "name": name,
+            "objective_ns": kind.aim_ns,
+            "hard_limit_ns": kind.deadline_ns,
+            "credit": kind.worth,
+            "late_worth": kind.late_worth,
+            "idempotency": kind.effect.value,
+            "key_scope": kind.key_scope,
+            "window_ns": kind.window_ns,
+        }
+        for name, kind in zip(names, settings.classes, strict=True)
+    ]
+    return {
+        "balancers": settings.agents,
+        "my_number": settings.own_agent,
+        "period_ns": settings.period_ns,
+        "services": services,
+        "over_share_worth": settings.over_share_worth,
+        "family_info": {
+            "self_no": settings.own_exchange,
+            "network_form": "meshed",
+            "guard_ns": settings.release_ns,
+            "t1_ns": settings.resend_ns,
+            "widths": [kind.width for kind in settings.classes],
+            "class_hold_ns": [kind.hold_ns for kind in settings.classes],
+        },
+        "goal": {
+            "whole": settings.whole_weight,
+            "worst_window": settings.window_weight,
+            "worst_class": settings.class_weight,
+        },
+        "guarantees": {
+            "ask_within_ns": settings.ask_within_ns,
+            "grace_to_answer_ns": settings.answer_grace_ns,
+            "drain_grace_ns": settings.drain_grace_ns,
+            "cold_from": settings.cold_from,
+            "cold_ns": settings.cold_ns,
+            "fall_multiple": settings.fall_multiple,
+            "tip_after_ns": settings.fall_ns,
+        },
+        "limits": {
+            "max_attempts": settings.max_attempts,
+            "cancel": settings.call_off,
+            "retry_after": settings.stay_away,
+            "max_retry_after_ns": settings.max_stay_away_ns,
+            "probes": settings.probes,
+        },
+    }
+
+
+def options_text(iax: IaxConfig) -> str:
+    """The same IAX2 settings in protobuf text format."""
+    lines = ["iax {", f'  listen: "{iax.listen[0]}:{iax.listen[1]}"']
+    for exchange, (where, port) in iax.switches.items():
+        lines.append(f'  switches {{ exchange: "{exchange}" address: "{where}:{port}" }}')
+    if iax.pair is not None:
+        own = iax.pair.parameters
+        lines += [
+            "  vrrp {",
+            f'    listen: "{iax.pair.listen[0]}:{iax.pair.listen[1]}"',
+            f'    peer: "{iax.pair.peer[0]}:{iax.pair.peer[1]}"',
+            f"    vrid: {own.vrid} priority: {own.priority} interval_cs: {own.interval}",
+            f'    address: "{own.address}"',
+            "  }",
+        ]
+    return "\n".join([*lines, "}"])
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -11,10 +11,11 @@
 
 import ujson
 from conftest import SETTINGS, entry
+from modes import DaemonProcess, Embedded, options_text, settings_document
 
 from rowanmast import interface as api
-from rowanmast.__main__ import Router
-from rowanmast.config import Config, IaxConfig, PairConfig
+from rowanmast.app.daemon import Daemon
+from rowanmast.config import Config, IaxConfig, PairConfig, check_config
 from rowanmast.core.ports import Attempt, Failure, Input, Offer, Route
 from rowanmast.iax2 import frames
 from rowanmast.iax2.endpoint import Endpoint, Leg
@@ -522,6 +523,8 @@
 class Town:
     """One router with its switches and change log; `async with` starts them and ends them."""
 
+    mode = "in-process"  # the fixture `router_mode` sets it
+
     def __init__(self, own: int = 0) -> None:
         self.own = own
         self.watch = Watch(time.monotonic, 0.2, slack_s=0.07)
@@ -538,34 +541,43 @@
         self.switches.append(IaxSwitch(name, number, self.spare.pop(), self.watch, **more))
         return self.switches[-1]  # type: ignore[return-value]
 
+    def document(self) -> dict[str, Any]:
+        """The configuration as the platform would hand it over."""
+        self.settings = replace(SETTINGS, own_exchange=self.own, release_ns=200_000_000, max_attempts=6)
+        return {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.sip_port}",
+            "seed": "7",
+            "limits": {"sockets": 200},
+            "changelog": f"127.0.0.1:{self.log_port}",
+            "known": {"seq": 0, "results": []},
+            "settings": settings_document(self.settings, ["plain", "dear", "unsafe", "keyed"]),
+        }
+
     async def __aenter__(self) -> Town:
         for part in (self.changes, *self.switches):
             await part.start()
         self.changes.add(True, *(host(one.name, one.number, one.port) for one in self.switches))
         listed = {one.name: ("127.0.0.1", one.port) for one in self.switches if isinstance(one, IaxSwitch)}
-        self.settings = replace(SETTINGS, own_exchange=self.own, release_ns=200_000_000, max_attempts=6)
-        config = Config(
-            path="",
-            name="n0",
-            listen=("127.0.0.1", self.sip_port),
-            seed=7,
-            sockets=200,
-            changelog=("127.0.0.1", self.log_port),
-            known=[],
-            settings=self.settings,
-            classes={"plain": 0},
-            connect_s=0.5,
-        )
+        config = check_config(self.document(), Reader())
+        assert config.settings == self.settings
         await self.start(config, IaxConfig(("127.0.0.1", self.iax_port), listed, self.pair))
-        await eventually(lambda: all(one.name in self.router.ledger.listed for one in self.switches))
+        await eventually(lambda: all(self.router.ledger.is_up(one.name) for one in self.switches))
         await eventually(lambda: all(getattr(link, "connections", 1) for link in self.router.peers.values()))
+        await eventually(lambda: all(getattr(one, "transports", 1) for one in self.switches))
         return self
 
     async def start(self, config: Config, iax: IaxConfig | None = None) -> None:
         loop = asyncio.get_running_loop()
-        self.router = Router(config, iax, Reader(), loop)
+        self.router: Any
+        if self.mode == "in-process":
+            self.router = Daemon(config, iax, Reader(), loop)
+        elif self.mode == "embedded":
+            self.router = Embedded(config, iax)
+        else:
+            self.router = DaemonProcess(self.document(), options_text(iax) if iax else "", self.changes)
         self.running = loop.create_task(self.router.run())
-        await asyncio.wait_for(self.router.ready.wait(), 5)
+        await asyncio.wait_for(self.router.ready.wait(), 10)
 
     async def __aexit__(self, *_: object) -> None:
         self.router.stop.set()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,7 +20,6 @@
 from standins import ChangeLogServer, JsonSwitch, SipCaller, Town, Watch, eventually, host, ports
 
 from rowanmast import interface as api
-from rowanmast.config import ConfigError, read_iax_config
 from rowanmast.net.changelog import Change, ChangeLog, ListError, Reader
 from rowanmast.net.peers import SILENCE
 
@@ -70,8 +69,8 @@
     assert re.fullmatch(rf"rowanmast: .*({words}).*\n", errors)
 
 
-def test_no_configuration_and_a_bad_iax2_file(tmp_path: Path) -> None:
-    process = start(tmp_path, EXAMPLE, ROWANMAST_IAX2=str(tmp_path / "none.json"))
+def test_no_configuration_and_a_bad_settings_file(tmp_path: Path) -> None:
+    process = start(tmp_path, EXAMPLE, ROWANMAST_SETTINGS=str(tmp_path / "none.txtpb"))
     _, errors = process.communicate(timeout=20)
     assert process.returncode == 1 and errors.count("\n") == 1 and "No such file" in errors
     process = start(tmp_path, EXAMPLE, PROXY_CONFIG="")
@@ -79,18 +78,6 @@
     assert process.returncode == 1 and errors == "rowanmast: PROXY_CONFIG is not set\n"
 
 
-def test_the_iax2_example_of_the_deploy_folder_can_be_read(tmp_path: Path) -> None:
-    config = read_iax_config(str(ROOT / "deploy" / "iax2.example.json"))
-    assert config is not None and config.listen == ("127.0.0.1", 4569)
-    assert config.pair is not None and config.pair.parameters.priority == 100
-    assert read_iax_config(None) is None, "off where no file is named"
-    odd = tmp_path / "odd.json"
-    for text in ('{"listen": "x"}', "{}", '{"listen": "127.0.0.1:1", "vrrp": {"vrid": 0}}'):
-        odd.write_text(text)
-        with pytest.raises(ConfigError):
-            read_iax_config(str(odd))
-
-
 def test_sigterm_answers_all_that_was_taken_also_just_after(tmp_path: Path) -> None:
     async def test() -> None:
         watch = Watch(time.monotonic, 0.2, slack_s=0.07)
