--- a/rowanmast/core/coldshare.py
+++ b/rowanmast/core/coldshare.py
@@ -4,17 +4,16 @@
 `has_budget`). Two routers in one process stand in for one, so together they may send a cold switch no more
 than that one would: each copy would round its share up to a set-up, and each would start its count anew.
 The account here is kept over all of them: the rate at which together they send to a warm switch, one credit
-for all cold switches, and a window for each. Within the window the copies that ask share alike, so that a
-busy one can't starve the others. Times are microseconds of the monotonic clock.
+for all cold switches, and a window for each. A copy that had more of late leaves a credit for one that was
+turned down, so that a busy one can't starve the others. Times are microseconds of the monotonic clock.
 
 The copies run on threads of their own, so each question takes a lock, held for some microseconds.
 """
 
 from __future__ import annotations
 
-import math
 import threading
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from rowanmast import interface as api
@@ -33,13 +32,18 @@
 
     cold_until: int
     sent: deque[tuple[int, str]] = field(default_factory=deque)  # when, by which router
-    asked: dict[str, int] = field(default_factory=dict)  # when each router last asked
+    denied: dict[str, int] = field(default_factory=dict)  # when each router was last turned down in vain
 
     def forget(self, now: int, span: int) -> None:
         while self.sent and now - self.sent[0][0] >= span:
             self.sent.popleft()
-        for name in [name for name, at in self.asked.items() if now - at >= span]:
-            del self.asked[name]
+        for name in [name for name, at in self.denied.items() if now - at >= span]:
+            del self.denied[name]
+
+    def hungrier(self, name: str) -> bool:
+        """Whether another router was turned down that had less of the window than this one."""
+        had = Counter(sender for _, sender in self.sent)
+        return any(had[other] < had[name] for other in self.denied if other != name)
 
 
 class ColdShare:
@@ -65,7 +69,7 @@
         with self.lock:
             self.members.pop(name, None)
             for window in self.windows.values():
-                window.asked.pop(name, None)  # what it sent still counts
+                window.denied.pop(name, None)  # what it sent still counts
 
     def note(self, now: int, others: int) -> None:
         """Counts one set-up that leaves, among `others` switches that take them."""
@@ -88,17 +92,15 @@
         window.cold_until = cold_until
         span = max(settings.fall_ns // NS, 1)
         window.forget(now, span)
-        window.asked[name] = now
         takes = HEADROOM * self.each * settings.cold_from * settings.fall_multiple * SAFETY / SECOND
         rate = takes * len(self.windows)
         self.credit = min(self.credit + rate * (now - self.fed), max(rate * span, 1.0))
         self.fed = max(now, self.fed)
         most = max(HEADROOM * takes * span, 1.0)
-        if self.credit < 1.0 or len(window.sent) >= most:
-            return False
-        own = sum(sender == name for _, sender in window.sent)
-        if own >= math.ceil(most / len(window.asked)):
+        if self.credit < 1.0 + window.hungrier(name) or len(window.sent) >= most:
+            window.denied[name] = now
             return False
+        window.denied.pop(name, None)
         self.credit -= 1.0
         window.sent.append((now, name))
         return True
--- a/rowanmast/embed/calls.py
+++ b/rowanmast/embed/calls.py
@@ -115,7 +115,7 @@
         """The outcome; cancelling the task takes the call back, or releases it if it stands by then."""
         try:
             outcome = await self.latch.come()
-        except asyncio.CancelledError:
+        except BaseException:  # cancelled, or the task is destroyed with its loop
             self.cancel()
             raise
         self.desk.collected(self.call)
--- a/rowanmast/embed/router.py
+++ b/rowanmast/embed/router.py
@@ -13,6 +13,7 @@
 import os
 import secrets
 import threading
+import time
 import weakref
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager, suppress
@@ -47,6 +48,7 @@
 
 SWEEP_S = 0.1  # gaps at which outcomes that nobody collects are looked for
 DRAIN_S = 10.0  # for which a close waits, if not told otherwise, for calls that stand
+READY_STEP_S = 0.01
 EXIT_DRAIN_S = 0.0  # at interpreter exit what stands is released at once
 JOIN_S = 5.0  # beyond the drain, for the last bytes and the thread's own end
 
@@ -322,6 +324,23 @@
         self.thread.join(JOIN_S)
         atexit.unregister(self.close)
 
+    def wait_ready(self, timeout_s: float = 2.0) -> bool:
+        """Blocks until the switches are known and each has a connection; False if that takes longer.
+
+        Calls may be placed before: those for a switch that is not known yet are refused.
+        """
+        end = time.monotonic() + timeout_s
+        while not self.ready() and time.monotonic() < end:
+            time.sleep(READY_STEP_S)
+        return self.ready()
+
+    def ready(self) -> bool:
+        """Whether the switches are known and each has a connection now."""
+        if self.router is None or self.ended.is_set() or not self.router.ledger.listed:
+            return False
+        links = list(self.router.peers.values())
+        return all(getattr(link, "connections", True) for link in links)
+
     def drain(self) -> None:
         """Refuses new calls from now on; those there are go on. `close` ends them."""
         self.desk.stop_taking()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -303,3 +303,49 @@
     model.turn(Answered("x1", "c1", out.number, "late"))
     assert model.links["x1"].said == [("release", "c1")]
     assert [said[0] for said in model.front.said] == ["refuse"]
+
+
+def test_a_wait_for_a_release_counts_from_when_the_bytes_of_a_stalled_turn_left() -> None:
+    """A host may hold the interpreter in mid-turn: here the cancel leaves 400 ms after its begin."""
+
+    class Again:
+        """Sends a call again as soon as the module may, whatever has happened to it."""
+
+        def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
+            match event:
+                case api.Call():
+                    return [api.SetUp(event.call, "x1", 10**8)]
+                case api.Ended(final=False, outcome=api.Outcome.TIMED_OUT):
+                    return [api.SetTimer(RELEASE * 1000, "call " + event.call)]
+                case api.TimerDue():
+                    return [api.SetUp(event.token.removeprefix("call "), "x2", 10**9)]
+            return []
+
+    model = Model(Again())
+    model.watch.offered("c1", 3.0)
+    model.turn(offer(model.front, "c1"))
+    model.now += US // 10
+    model.turn()  # the attempt times out, and what takes it back is written
+    (record,) = model.ledger.freed
+    stalled = model.now + 400_000
+    model.watch.not_before["c1"] = (stalled + RELEASE) / US  # the switch hears of it only now
+    model.ledger.left_by(stalled)
+    assert not model.ledger.freed and record.not_before == stalled + RELEASE
+    model.pass_time(stalled + RELEASE - 1)
+    assert record.sends == 1
+    model.pass_time(stalled + RELEASE + 1000)
+    assert record.sends == 2 and record.out is not None
+    model.turn(Cancelled("c1"))
+
+
+def test_turns_that_took_no_time_move_nothing() -> None:
+    model = Model()
+    for name in ("c1", "c2"):
+        model.watch.offered(name, 3.0)
+        model.turn(offer(model.front, name))
+    before = list(model.ledger.dues)
+    model.turn(Cancelled("c1"))
+    (record,) = model.ledger.freed
+    not_before = record.not_before
+    model.ledger.left_by(model.now + 4_000)
+    assert record.not_before == not_before and before[0] in model.ledger.dues
