Route web requests by the embedded router: ASGI and WSGI middleware

Need: hosts want a lookup request to become a call without code of their own; the middleware so far only gated an application, and placed none.

RoutingMiddleware (ASGI) and WsgiRoutingMiddleware make a call of a request's headers, or of what a callable says, give the handler the call that stands and release it at the end. A client that goes away takes its call back, or releases it. 503 with Retry-After, 504 and 400 map the outcomes. The admission gate stays. examples/host_app.py is a whole application.

--- /dev/null
+++ b/examples/host_app.py
@@ -0,0 +1,34 @@
+"""A lookup service with the router inside: `uvicorn examples.host_app:app --port 7110`, beside the toy switch."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from rowanmast.config import read_config
+from rowanmast.embed import EmbeddedRouter
+from rowanmast.middleware import RoutingMiddleware
+from rowanmast.net.changelog import Reader
+
+router = EmbeddedRouter(read_config("examples/config.json", Reader()))
+
+
+async def lookup(request: Request) -> PlainTextResponse:
+    return PlainTextResponse(request.state.call.text)  # what the switch said; the call ends with the response
+
+
+@contextlib.asynccontextmanager
+async def lifespan(app: Starlette) -> AsyncIterator[None]:
+    async with router:
+        yield
+
+
+app = Starlette(
+    routes=[Route("/lookup", lookup)],
+    middleware=[Middleware(RoutingMiddleware, router=router, klass="item-lookup", wait_s=1.5)],
+    lifespan=lifespan,
+)
--- /dev/null
+++ b/tests/test_routing_middleware.py
@@ -0,0 +1,268 @@
+"""The routing middlewares in real applications on loopback: Starlette under uvicorn, WSGI under threads."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import http.client
+import socket
+import threading
+import time
+from collections.abc import AsyncIterator, Iterator
+from socketserver import ThreadingMixIn
+from typing import Any
+from wsgiref.simple_server import WSGIRequestHandler, WSGIServer, make_server
+
+import pytest
+import uvicorn
+from fleet import Fleet
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, StreamingResponse
+from starlette.routing import Route
+from test_embed import config_of, soon
+
+from rowanmast.core.ports import Failure
+from rowanmast.embed import EmbeddedRouter, Failed, Refused, RequestError
+from rowanmast.middleware import RoutingMiddleware, WsgiRoutingMiddleware, from_headers
+from rowanmast.middleware.mapping import of_closed, of_outcome
+
+CALL = {"X-Call-Number": "71", "X-Call-Dest": "1", "X-Call-Text": "parcel"}
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[Fleet]:
+    with Fleet([1, 2, 3], hold_s=60.0) as fleet:
+        yield fleet
+        report = fleet.report()
+        assert (report["broken"], report["out"], report["standing"]) == ([], 0, 0)
+
+
+@pytest.fixture(scope="module")
+def router(fleet: Fleet) -> Iterator[EmbeddedRouter]:
+    with EmbeddedRouter(config_of(fleet)) as router:
+        assert router.wait_ready()
+        yield router
+
+
+handled: list[str] = []
+
+
+async def lookup(request: Request) -> PlainTextResponse:
+    call = getattr(request.state, "call", None)
+    body = (await request.body()).decode()
+    handled.append(body)
+    stands = call is not None and call.ending is None
+    return PlainTextResponse(f"{call.text if call else 'no call'} {stands} {len(body)}")
+
+
+async def drip(request: Request) -> StreamingResponse:
+    call = request.state.call
+
+    async def parts() -> AsyncIterator[str]:
+        for at in range(200):
+            yield f"{at} {call.ending is None}\n"
+            await asyncio.sleep(0.02)
+
+    return StreamingResponse(parts())
+
+
+async def broken(request: Request) -> PlainTextResponse:
+    raise RuntimeError("odd")
+
+
+@pytest.fixture(scope="module")
+def served(router: EmbeddedRouter) -> Iterator[tuple[str, int]]:
+    began: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def lifespan(app: Any) -> AsyncIterator[None]:
+        began.append("lifespan")
+        yield
+
+    app = Starlette(
+        routes=[
+            Route("/lookup", lookup, methods=["GET", "POST"]),
+            Route("/drip", drip),
+            Route("/broken", broken),
+        ],
+        middleware=[Middleware(RoutingMiddleware, router=router, klass="plain", wait_s=1.0)],
+        lifespan=lifespan,
+    )
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        server = uvicorn.Server(uvicorn.Config(app, log_level="critical"))
+        thread = threading.Thread(target=server.run, kwargs={"sockets": [listening]})
+        thread.start()
+        soon(lambda: server.started)
+        assert began == ["lifespan"], "other scopes pass through"
+        yield listening.getsockname()
+        server.should_exit = True
+        thread.join(5)
+
+
+def ask(
+    at: tuple[str, int], path: str = "/lookup", method: str = "GET", body: bytes | None = None, **headers: str
+) -> tuple[int, str, http.client.HTTPResponse]:
+    connection = http.client.HTTPConnection(*at, timeout=5)
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    connection.request(method, path, body=body, headers={**CALL, **named})
+    response = connection.getresponse()
+    text = response.read().decode()
+    connection.close()
+    return response.status, text.strip(), response
+
+
+def test_a_handler_gets_the_standing_call_and_its_end_releases_it(
+    fleet: Fleet, router: EmbeddedRouter, served: tuple[str, int]
+) -> None:
+    assert ask(served)[:2] == (200, "at s1 True 0")
+    assert ask(served, method="POST", body=b"x" * 100_000)[:2] == (200, "at s1 True 100000")
+    assert ask(served, "/broken")[0] == 500
+    soon(lambda: fleet.report()["standing"] == 0)
+    assert router.counts() == (0, 0)
+
+
+def test_a_request_that_asks_for_no_call_passes_through(served: tuple[str, int]) -> None:
+    connection = http.client.HTTPConnection(*served, timeout=5)
+    connection.request("GET", "/lookup")
+    assert connection.getresponse().read() == b"no call False 0"
+    connection.close()
+
+
+def test_outcomes_become_responses(fleet: Fleet, served: tuple[str, int]) -> None:
+    status, _, response = ask(served, X_Call_Dest="77")
+    assert (status, response.getheader("retry-after")) == (503, "1")
+    fleet.tell("mute", "s2")
+    begun = time.monotonic()
+    status, text, _ = ask(served, X_Call_Dest="2", X_Call_Class="unsafe", X_Call_Wait_Ms="300")
+    assert (status, text) == (504, "no answer in time")
+    assert 0.2 < time.monotonic() - begun < 0.5
+    fleet.tell("speak", "s2")
+    before = len(handled)
+    for headers, words in (
+        ({"X_Call_Dest": "x"}, "x-call-dest: 'x' is no figure"),
+        ({"X_Call_Wait_Ms": "0"}, "x-call-wait-ms: give 1 to 3600000 milliseconds"),
+        ({"X_Call_Class": "odd"}, "klass: 'odd' is not in the settings"),
+        ({"X_Call_Width": "0"}, "width: 0 is no number of circuits"),
+        ({"X_Call_Number": ""}, "number: give 1 to"),
+    ):
+        status, text, _ = ask(served, **headers)
+        assert status == 400 and text.startswith(words)
+    assert len(handled) == before, "no handler ran"
+
+
+def test_a_client_that_goes_away_takes_its_call_back(
+    fleet: Fleet, router: EmbeddedRouter, served: tuple[str, int]
+) -> None:
+    fleet.tell("mute", "s3")
+    before = len(handled)
+    with socket.create_connection(served) as client:
+        head = "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Call-Number: 7\r\nX-Call-Dest: 3\r\n\r\n"
+        client.sendall(head.encode())
+        soon(lambda: fleet.report()["out"] == 1)
+    soon(lambda: fleet.report()["out"] == 0, 0.5)
+    assert router.counts() == (0, 0) and len(handled) == before
+    fleet.tell("speak", "s3")
+
+
+def test_a_client_that_leaves_a_stream_releases_the_call(
+    fleet: Fleet, router: EmbeddedRouter, served: tuple[str, int]
+) -> None:
+    with socket.create_connection(served) as client:
+        head = "GET /drip HTTP/1.1\r\nHost: x\r\nX-Call-Number: 7\r\nX-Call-Dest: 1\r\n\r\n"
+        client.sendall(head.encode())
+        received = b""
+        while b"3 True" not in received:
+            received += client.recv(4096)
+    soon(lambda: fleet.report()["standing"] == 0, 1.0)
+    assert router.counts() == (0, 0)
+
+
+class Threaded(ThreadingMixIn, WSGIServer):
+    daemon_threads = True
+
+
+class Silent(WSGIRequestHandler):
+    def log_message(self, *_: Any) -> None:
+        pass
+
+
+def wsgi_app(environ: dict[str, Any], start_response: Any) -> Any:
+    call = environ.get("rowanmast.call")
+    if environ["PATH_INFO"] == "/broken":
+        raise RuntimeError("odd")
+    start_response("200 OK", [("content-type", "text/plain")])
+
+    def parts() -> Iterator[bytes]:
+        yield (call.text if call else "no call").encode()
+        yield b" stands" if call and call.ending is None else b" "
+
+    return parts()
+
+
+def test_wsgi_handlers_get_the_call_too(fleet: Fleet, router: EmbeddedRouter) -> None:
+    guarded = WsgiRoutingMiddleware(wsgi_app, router, klass="plain", wait_s=1.0)
+    with make_server("127.0.0.1", 0, guarded, Threaded, Silent) as server:
+        serving = threading.Thread(target=server.serve_forever)
+        serving.start()
+        at = server.server_address[:2]
+        try:
+            found: list[tuple[int, str]] = []
+            asking = [threading.Thread(target=lambda: found.append(ask(at)[:2])) for _ in range(20)]
+            for one in asking:
+                one.start()
+            for one in asking:
+                one.join()
+            assert found == [(200, "at s1 stands")] * 20
+            status, _, response = ask(at, X_Call_Dest="77")
+            assert (status, response.getheader("retry-after")) == (503, "1")
+            assert ask(at, X_Call_Wait_Ms="x")[:2] == (400, "x-call-wait-ms: 'x' is no figure")
+            soon(lambda: fleet.report()["standing"] == 0)
+        finally:
+            server.shutdown()
+            serving.join()
+    with pytest.raises(RuntimeError, match="odd"):
+        guarded(environ_of("/broken"), lambda *_: None)
+    assert list(guarded({"PATH_INFO": "/"}, lambda *_: None)) == [b"no call", b" "]
+    soon(lambda: router.counts() == (0, 0))
+
+
+def environ_of(path: str) -> dict[str, Any]:
+    return {"PATH_INFO": path, **{f"HTTP_{name.upper().replace('-', '_')}": CALL[name] for name in CALL}}
+
+
+def test_a_closed_router_is_503(fleet: Fleet) -> None:
+    closed = EmbeddedRouter(config_of(fleet, "n9"))
+    said: list[Any] = []
+    guarded = WsgiRoutingMiddleware(wsgi_app, closed, klass="plain", wait_s=1.0)
+    body = guarded(environ_of("/"), lambda *words: said.append(words))
+    assert said[0][0] == "503 Service Unavailable" and ("retry-after", "1") in said[0][1]
+    assert list(body) == [b"the router is closed, come back later\n"]
+    sent: list[Any] = []
+
+    async def never() -> Any:
+        raise AssertionError("the application is not asked")
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    headers = [(name.lower().encode(), value.encode()) for name, value in CALL.items()]
+    app: Any = never
+    scope = {"type": "http", "headers": headers}
+    asyncio.run(RoutingMiddleware(app, closed, klass="plain", wait_s=1.0)(scope, never, send))
+    assert sent[0]["status"] == 503
+
+
+def test_headers_and_outcomes_are_mapped() -> None:
+    request = from_headers({"x-call-number": "7", "x-call-dest": "2", "x-call-redial": "1"}, "plain", 1.5)
+    assert request is not None and (request.klass, request.wait_s, request.redialled) == ("plain", 1.5, True)
+    assert from_headers({"x-call-dest": "2"}) is None
+    with pytest.raises(RequestError, match="x-call-dest: is missing"):
+        from_headers({"x-call-number": "7"}, "plain", 1.0)
+    with pytest.raises(RequestError, match="x-call-via"):
+        from_headers({"x-call-number": "7", "x-call-dest": "2", "x-call-via": "1_0"}, "plain", 1.0)
+    assert of_outcome(Refused(0.2)).retry_after == 1 and of_outcome(Refused(1.2)).retry_after == 2
+    statuses = [of_outcome(Failed(why)).status for why in Failure]
+    assert statuses == [504, 500, 500, 400]
+    assert ("retry-after", "1") in of_closed().headers()
