--- a/examples/host_app.py
+++ b/examples/host_app.py
@@ -1,4 +1,4 @@
-"""A lookup service with the router inside: `uvicorn examples.host_app:app --port 7110`, beside the toy switch."""
+"""A lookup service with the router inside: `uvicorn examples.host_app:app --port 7110`, by the toy switch."""
 
 import contextlib
 from collections.abc import AsyncIterator
