--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -39,7 +39,8 @@
 GONE = NoLink()
 SPARE_DUES = 64  # entries of the timer heap that may be stale before it is cleared of them
 PAST_US = 10_000_000  # a switch's release may cross ours, or come twice, within this time
-LAG_US = 5_000  # a turn that took longer to let its bytes leave moves the waits that begin with them
+LAG_US = 25_000  # a turn that took longer to let its bytes leave moves the waits that begin with them: the
+# module's margin (50 ms) bears what is shorter
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 Item = TypeVar("Item")
