Read SIP heads with one look-up a header; measure daemon, library and ledger side by side

Need: after the decisions, reading SIP took the largest part of a call in the daemon: each header asked for walked all of them, and each message was built twice.

Change: a message keeps the first value of each header by name and is built once; a route is made with its redial mark, not copied.

--- /dev/null
+++ b/benchmarks/parties.py
@@ -0,0 +1,182 @@
+"""The processes of a measurement: a switch with its change log, and loads that place calls steadily.
+
+Each runs as `python -m benchmarks.parties PARTY JSON`, prints one JSON line when it is ready or done, and
+ends when its standard input closes or its work is done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import resource
+import secrets
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from rowanmast.config import check_config
+from rowanmast.embed import Bounds, CallRequest, EmbeddedRouter, Stands
+from rowanmast.lab.demo import document
+from rowanmast.lab.town import ToyChangeLog, ToyStation, ToySwitch, host_entry
+from rowanmast.net import jsonlines
+from rowanmast.net.changelog import Reader
+
+KLASS = "item-lookup"
+DEST = 1
+CIRCUITS = 10**6  # the group is never what limits
+TICK_S = 0.005
+
+
+@dataclass
+class Found:
+    """What a load saw; delays are seconds, processor times those of its process and its router's thread."""
+
+    offered: int = 0
+    stood: int = 0
+    span_s: float = 0.0
+    cpu_s: float = 0.0
+    router_cpu_s: float = 0.0
+    resident_kb: int = 0
+    delays: list[float] = field(default_factory=list)
+
+
+def say(word: Any) -> None:
+    print(json.dumps(word), flush=True)
+
+
+async def switch(hold_s: float) -> None:
+    """One switch without work of its own, and its change log."""
+    town = ToySwitch("s1", DEST, circuits=CIRCUITS, work_s=0.0, hold_s=hold_s)
+    changes = ToyChangeLog()
+    await town.start()
+    await changes.start()
+    changes.add(True, host_entry(town))
+    say({"switch": town.address, "changelog": changes.address})
+    await asyncio.to_thread(sys.stdin.read)
+
+
+async def steadily(rate: float, seconds: float, place: Callable[[], None]) -> float:
+    """Calls `place` at `rate` a second for `seconds`; returns how long that took."""
+    loop = asyncio.get_running_loop()
+    begun, placed = loop.time(), 0
+    while (past := loop.time() - begun) < seconds:
+        while placed < past * rate:
+            place()
+            placed += 1
+        await asyncio.sleep(TICK_S)
+    return loop.time() - begun
+
+
+async def sip(listen: tuple[str, int], rate: float, seconds: float) -> None:
+    """Calls over SIP to a daemon."""
+    loop = asyncio.get_running_loop()
+    _, station = await loop.create_connection(lambda: ToyStation(KLASS, 9.0), *listen)
+    span = await steadily(rate, seconds, lambda: station.dial(DEST))
+    await asyncio.sleep(0.3)
+    counts = station.counts
+    say(asdict(Found(counts.offered, counts.stood, span, delays=counts.delays)))
+
+
+class Direct(asyncio.Protocol):
+    """Calls straight to the switch, with no router between: what the rest is compared with."""
+
+    def __init__(self) -> None:
+        self.parser = jsonlines.Parser()
+        self.begun: dict[str, float] = {}
+        self.found = Found()
+        self.transport: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def place(self) -> None:
+        call = secrets.token_hex(8)
+        self.found.offered += 1
+        self.begun[call] = time.monotonic()
+        attrs = {"class": KLASS, "key": call, "left": "9000"}
+        self.transport.write(jsonlines.write("open", call, attrs, text="dest=1 parcel"))
+
+    def data_received(self, data: bytes) -> None:
+        for line in self.parser.feed(data):
+            if line.msg == "ready":
+                self.found.stood += 1
+                self.found.delays.append(time.monotonic() - self.begun.pop(line.sid))
+
+
+async def direct(at: tuple[str, int], rate: float, seconds: float) -> None:
+    _, side = await asyncio.get_running_loop().create_connection(Direct, *at)
+    side.found.span_s = await steadily(rate, seconds, side.place)
+    await asyncio.sleep(0.3)
+    say(asdict(side.found))
+
+
+def resident_kb(process: str = "self") -> int:
+    status = Path(f"/proc/{process}/status").read_text()
+    return int(status.partition("VmRSS:")[2].split()[0])
+
+
+def thread_cpu_s(native: int | None) -> float:
+    """Processor time of one of our threads so far, in seconds."""
+    fields = Path(f"/proc/self/task/{native}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+async def library(changelog: tuple[str, int], rate: float, seconds: float, standing: int = 0) -> None:
+    """Calls by the embedded router from a host's loop; with `standing`, memory with so many calls instead."""
+    config = check_config(document(("127.0.0.1", 9), changelog, 1), Reader())
+    loop = asyncio.get_running_loop()
+    found = Found()
+    tasks: set[asyncio.Task[None]] = set()
+    async with EmbeddedRouter(config, bounds=Bounds(max_open=10_000, max_standing=100_000)) as router:
+        await asyncio.to_thread(router.wait_ready)
+
+        async def one() -> None:
+            begun = time.monotonic()
+            outcome = await router.place(CallRequest(secrets.token_hex(8), DEST, KLASS, 9.0, "dest=1 parcel"))
+            if isinstance(outcome, Stands):
+                found.stood += 1
+                found.delays.append(time.monotonic() - begun)
+                await outcome.call.over()
+
+        def place() -> None:
+            found.offered += 1
+            task = loop.create_task(one())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+        if standing:
+            gc.collect()
+            before = resident_kb()
+            await steadily(1000.0, standing / 1000.0, place)
+            await asyncio.sleep(0.3)
+            found.resident_kb = (resident_kb() - before) * 1000 // max(found.stood, 1)
+        else:
+            native = router.thread.native_id if router.thread is not None else None
+            used, thread = cpu_s(), thread_cpu_s(native)
+            found.span_s = await steadily(rate, seconds, place)
+            found.cpu_s, found.router_cpu_s = cpu_s() - used, thread_cpu_s(native) - thread
+            await asyncio.sleep(0.3)
+        await router.aclose(0.0)
+    say(asdict(found))
+
+
+def cpu_s() -> float:
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
+PARTIES: dict[str, Callable[..., Coroutine[Any, Any, None]]] = {
+    "switch": switch,
+    "sip": sip,
+    "direct": direct,
+    "library": library,
+}
+
+if __name__ == "__main__":
+    uvloop.run(PARTIES[sys.argv[1]](**json.loads(sys.argv[2])))
--- a/rowanmast/lab/town.py
+++ b/rowanmast/lab/town.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -20,6 +21,7 @@
 from rowanmast.net import jsonlines, sip
 
 NO_CIRCUIT = 34
+TELL_S = 0.05
 DEST = "dest="  # a station names the destination in its description, as JSON lines carry no route
 
 
@@ -68,6 +70,7 @@
         self.sides: list[SwitchSide] = []
         self.town: dict[int, ToySwitch] = {}
         self.tally = Tally()
+        self.telling: asyncio.TimerHandle | None = None
         self.server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
 
@@ -88,6 +91,12 @@
         return f"x0:{self.circuits - self.used};x1:{self.circuits};queue:{queue:.0f}"
 
     def tell_group(self) -> None:
+        """Tells of the group's free circuits soon: changes within `TELL_S` go out as one."""
+        if self.telling is None:
+            self.telling = asyncio.get_running_loop().call_later(TELL_S, self.tell_now)
+
+    def tell_now(self) -> None:
+        self.telling = None
         line = jsonlines.write("status", "", {"load": self.load()})
         for side in self.sides:
             side.write(line)
@@ -316,7 +325,7 @@
             ("X-Route", f"dest:{dest};width:1;via:-1"),
         )
         self.counts.offered += 1
-        self.open[call] = (loop.time(), loop.call_later(self.wait_s + 0.05, self.lose, call))
+        self.open[call] = (time.monotonic(), loop.call_later(self.wait_s + 0.05, self.lose, call))
         body = f"{DEST}{dest} parcel\r\n".encode()
         self.write(sip.write(f"INVITE sip:{secrets.token_hex(8)}@net SIP/2.0", headers, body))
 
@@ -345,7 +354,7 @@
         self.write(sip.write(f"ACK sip:{message.call_id}@net SIP/2.0", head))
         if message.status == 200:
             self.counts.stood += 1
-            self.counts.delays.append(asyncio.get_running_loop().time() - begun)
+            self.counts.delays.append(time.monotonic() - begun)  # uvloop's clock has milliseconds only
         elif message.status in (480, 503):
             self.counts.refused += 1
         else:
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from rowanmast.causes import NORMAL_CLEARING
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
@@ -232,7 +232,7 @@
         self.inbox.post(offer)
 
     def read_offer(self, message: sip.Message) -> Offer:
-        route = read_route(message.get("x-route"))
+        route = read_route(message.get("x-route"), message.get("x-redial") == "1")
         left_ms = figure(message.get("x-setup-ms"))
         if not (message.call_id and message.user and 0 <= left_ms <= MAX_SETUP_MS):
             raise ValueError("no call id, no number or no time to wait")
@@ -243,7 +243,7 @@
             key=message.user,
             text=message.body.decode(),
             left_us=left_ms * 1000,
-            route=replace(route, redialled=message.get("x-redial") == "1"),
+            route=route,
         )
 
 
--- a/rowanmast/net/sip.py
+++ b/rowanmast/net/sip.py
@@ -9,6 +9,7 @@
 MAX_MESSAGE = 16 * 1024
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "c": "content-type"}
 ECHOED = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
+FOLD = (" ", "\t")
 BLANK = re.compile(rb"[\r\n]*")  # RFC 3261, 7.5: empty lines between messages
 REASONS = {
     200: "OK",
@@ -25,26 +26,27 @@
     """The bytes are no SIP message that we take."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Message:
     """A request (its method and address) or, with a status, a response."""
 
     method: str
     uri: str
     status: int
-    headers: tuple[tuple[str, str], ...]  # names in lower case, in long form
-    body: bytes
+    headers: list[tuple[str, str]]  # names in lower case, in long form
+    fields: dict[str, str]  # the first value of each header
+    body: bytes = b""
 
     def get(self, name: str, default: str = "") -> str:
-        return next((value for key, value in self.headers if key == name), default)
+        return self.fields.get(name, default)
 
     @property
     def call_id(self) -> str:
-        return self.get("call-id")
+        return self.fields.get("call-id", "")
 
     @property
     def cseq_method(self) -> str:
-        return self.get("cseq").rpartition(" ")[2]
+        return self.fields.get("cseq", "").rpartition(" ")[2]
 
     @property
     def user(self) -> str:
@@ -76,38 +78,46 @@
             if len(buffer) < body + length:
                 break
             at = body + length
-            yield Message(*message, body=buffer[body:at])
+            message.body = buffer[body:at]
+            yield message
         self.buffer = buffer[at:]
 
 
-def read_head(head: bytes) -> tuple[tuple[str, str, int, tuple[tuple[str, str], ...]], int]:
-    """The parts of the first line, the headers, and the length of the body in bytes."""
+def read_head(head: bytes) -> tuple[Message, int]:
+    """The message without its body, and the length of that in bytes."""
     try:
         first, *lines = head.decode().split("\r\n")
     except UnicodeDecodeError:
         raise SipError("headers are not UTF-8") from None
     headers: list[tuple[str, str]] = []
+    fields: dict[str, str] = {}
     for line in lines:
-        if line[:1] in (" ", "\t") and headers:  # a folded header
-            headers[-1] = (headers[-1][0], headers[-1][1] + " " + line.strip())
+        if line[:1] in FOLD and headers:  # a folded header
+            name, value = headers[-1]
+            headers[-1] = (name, f"{value} {line.strip()}")
+            if fields[name] == value:
+                fields[name] = headers[-1][1]
             continue
         name, colon, value = line.partition(":")
-        if not colon or not name.strip():
-            raise SipError("a header without a colon")
         name = name.strip().lower()
-        headers.append((COMPACT.get(name, name), value.strip()))
-    lengths = {value for name, value in headers if name == "content-length"}
-    if len(lengths) != 1:
+        if not (colon and name):
+            raise SipError("a header without a colon")
+        name = COMPACT.get(name, name)
+        value = value.strip()
+        headers.append((name, value))
+        if fields.setdefault(name, value) != value and name == "content-length":
+            raise SipError("no one Content-Length")
+    length = fields.get("content-length", "")
+    if not length:
         raise SipError("no one Content-Length")
-    length = lengths.pop()
     if not (length.isascii() and length.isdigit() and len(length) < 10):
         raise SipError("Content-Length is no number")
     parts = first.split(" ", 2)
     if len(parts) == 3 and parts[0] == "SIP/2.0" and parts[1].isascii() and parts[1].isdigit():
-        return ("", "", int(parts[1]), tuple(headers)), int(length)
+        return Message("", "", int(parts[1]), headers, fields), int(length)
     if len(parts) != 3 or parts[2] != "SIP/2.0" or not parts[0].isalpha():
         raise SipError("first line is neither a request's nor a response's")
-    return (parts[0], parts[1], 0, tuple(headers)), int(length)
+    return Message(parts[0], parts[1], 0, headers, fields), int(length)
 
 
 def write(first: str, headers: Iterable[tuple[str, str]], body: bytes = b"") -> bytes:
--- a/rowanmast/routes.py
+++ b/rowanmast/routes.py
@@ -13,10 +13,13 @@
     return int(text)
 
 
-def read_route(text: str) -> Route:
+def read_route(text: str, redialled: bool = False) -> Route:
+    """The route in such figures; `redialled` where the wire says that elsewhere. Raises ValueError."""
     figures: dict[str, int] = {}
-    for part in filter(None, map(str.strip, text.split(";"))):
-        name, colon, value = part.partition(":")
+    for part in text.split(";"):
+        if not part.strip():
+            continue
+        name, colon, value = part.strip().partition(":")
         if not colon:
             raise ValueError(f"route figure {part[:20]!r} has no value")
         figures[name.strip()] = figure(value.strip())
@@ -29,7 +32,7 @@
         dest=figures["dest"],
         width=figures.get("width"),
         via=None if via < 0 else via,
-        redialled=figures.get("redial") == 1,
+        redialled=redialled or figures.get("redial") == 1,
         transit=figures.get("transit") == 1,
         again=figures.get("again") == 1,
     )
