Close an embedded router's account before its loop, and every socket in a forked child

Cause: between the end of the loop and that of the account a host's word would have been sent to a closed loop and raised there; and a child of a fork kept the UDP socket of IAX2 bound after its parent had closed it. Change: the account ends inside the loop; the fork guard closes the sockets of IAX2 and of a pair as well.

--- a/rowanmast/app/parts.py
+++ b/rowanmast/app/parts.py
@@ -75,6 +75,11 @@
             pair = self.pair = vrrp.Endpoint(machine, self.iax.pair.peer, now_us)
             await loop.create_datagram_endpoint(lambda: pair, local_addr=self.iax.pair.listen)
 
+    def transports(self) -> list[asyncio.BaseTransport]:
+        """Its sockets that are open."""
+        pair = None if self.pair is None else self.pair.transport
+        return [one for one in (self.endpoint.transport, pair) if one is not None and not one.is_closing()]
+
     def wind_down(self) -> None:
         if self.pair is not None:
             self.pair.stop()  # the other one takes over at once
--- a/rowanmast/embed/router.py
+++ b/rowanmast/embed/router.py
@@ -480,6 +480,7 @@
                     self.desk.sweep()
             await self._wind_up(router)
         finally:
+            self.desk.abandon()  # before the loop closes, so that no host's word is sent to a closed one
             if router.ledger.share is not None:
                 router.ledger.share.leave()
 
@@ -522,9 +523,18 @@
         if embedded is None or embedded.router is None or embedded.ended.is_set():
             return
         embedded.desk.forked()
-        for link in embedded.router.peers.values():
-            for connection in getattr(link, "connections", ()):
-                transport = connection.transport
-                descriptor = None if transport is None else transport.get_extra_info("socket").fileno()
-                if descriptor is not None and descriptor >= 0:
-                    os.close(descriptor)
+        for transport in transports(embedded.router):
+            descriptor = transport.get_extra_info("socket").fileno()
+            if descriptor >= 0:
+                os.close(descriptor)
+
+
+def transports(router: Router) -> Iterator[asyncio.BaseTransport]:
+    """Those of the links and of IAX2: what switches and callers would wait for if a child kept it open."""
+    for link in router.peers.values():
+        for connection in getattr(link, "connections", ()):
+            if connection.transport is not None:
+                yield connection.transport
+    for part in router.parts:
+        if isinstance(part, IaxPart):
+            yield from part.transports()
--- a/tests/test_embed.py
+++ b/tests/test_embed.py
@@ -305,7 +305,8 @@
 
 
 def test_a_fork_does_not_keep_the_parents_connections_open(fleet: Fleet) -> None:
-    router = EmbeddedRouter(config_of(fleet))
+    (port,) = ports(1)
+    router = EmbeddedRouter(config_of(fleet), iax=IaxConfig(("127.0.0.1", port), {}))
     router.open()
     connected(router, 3)
     child = os.fork()
@@ -315,6 +316,8 @@
     router.close(0.0)
     try:
         soon(lambda: not any(fleet.report()["connections"].values()), 1.5)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as again:
+            again.bind(("127.0.0.1", port))
     finally:
         os.kill(child, 9)
         os.waitpid(child, 0)
