--- /dev/null
+++ b/rowanmast/addresses/order.py
@@ -0,0 +1,135 @@
+"""The addresses of a switch and the order in which they are tried. Without I/O.
+
+The order is that of RFC 6724, section 6, as far as it can be judged without asking the kernel for source
+addresses, with the operator's order of families in place of the default policy table; families are then
+interleaved as in RFC 8305, section 4, so that one that is broken as a whole costs one attempt and not all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from ipaddress import AddressValueError, IPv4Address, IPv6Address
+
+MAX_PATH = 107  # bytes of a Unix socket's path that Linux takes (unix(7))
+MOST = 16  # addresses of one switch that are kept: more are of no use, and come from outside
+UNIX = "unix:"
+
+
+class EndpointError(ValueError):
+    """The text is no address; it says what would be."""
+
+
+class Family(Enum):
+    UNIX = "unix"
+    IP6 = "ip6"
+    IP4 = "ip4"
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One address: host and port, or a Unix socket's path in `host`."""
+
+    family: Family
+    host: str
+    port: int = 0
+    scope: str = ""  # the zone of a link-local IPv6 address (RFC 4007, section 11)
+
+    def __str__(self) -> str:
+        if self.family is Family.UNIX:
+            return UNIX + self.host
+        if self.family is Family.IP6:
+            zone = f"%{self.scope}" if self.scope else ""
+            return f"[{self.host}{zone}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+
+def read_endpoint(text: str) -> Endpoint:
+    """An address such as 10.1.0.9:2905, [fe80::1%eth0]:2905 or unix:/run/s.sock. Raises EndpointError."""
+    if text.startswith(UNIX):
+        path = text.removeprefix(UNIX)
+        if not path.startswith("/") or "\0" in path or len(path.encode()) > MAX_PATH:
+            raise EndpointError(f"{text!r}: give unix: and an absolute path of up to {MAX_PATH} bytes")
+        return Endpoint(Family.UNIX, path)
+    host, colon, digits = text.rpartition(":")
+    if not (colon and digits.isascii() and digits.isdigit() and 1 <= int(digits[:6]) <= 65535):
+        raise EndpointError(f"{text!r}: give a port from 1 to 65535 after a colon")
+    if host.startswith("[") and host.endswith("]"):
+        return read_ip6(host[1:-1], int(digits))
+    try:
+        return Endpoint(Family.IP4, str(IPv4Address(host)), int(digits))
+    except AddressValueError:
+        raise EndpointError(f"{text!r}: give an IPv4 address, or an IPv6 address in brackets") from None
+
+
+def read_ip6(host: str, port: int) -> Endpoint:
+    try:
+        address = IPv6Address(host)
+    except AddressValueError:
+        raise EndpointError(f"{host!r}: no IPv6 address") from None
+    scope = address.scope_id or ""
+    plain = IPv6Address(int(address))
+    if plain.is_link_local != bool(scope):
+        raise EndpointError(f"{host!r}: a link-local address needs its zone, as in fe80::1%eth0, others none")
+    return Endpoint(Family.IP6, str(plain), port, scope)
+
+
+@dataclass(frozen=True, slots=True)
+class Preference:
+    """The operator's order of families, and how many of the first start before the next one's turn."""
+
+    families: tuple[Family, ...] = (Family.UNIX, Family.IP6, Family.IP4)
+    first_count: int = 1  # First Address Family Count, RFC 8305, section 4
+
+
+def scope_rank(endpoint: Endpoint) -> int:
+    """Smaller scopes first (RFC 6724, rule 8): this machine, this link, this site, the world."""
+    if endpoint.family is Family.UNIX:
+        return 0
+    address = IPv4Address(endpoint.host) if endpoint.family is Family.IP4 else IPv6Address(endpoint.host)
+    if address.is_loopback:
+        return 0
+    if address.is_link_local:
+        return 1
+    return 2 if address.is_private else 3
+
+
+def arrange(
+    endpoints: Iterable[Endpoint],
+    preference: Preference,
+    usable: Callable[[Endpoint], bool] = lambda endpoint: True,
+    cost: Callable[[Endpoint], int] = lambda endpoint: 0,
+) -> list[Endpoint]:
+    """The endpoints in the order to try them: each once, at most MOST, those of no listed family left out.
+
+    `usable` is rule 1 (avoid unusable destinations): the others come last, in their own order. `cost` is what
+    is remembered, in any unit: within a family and a scope, the lower goes first. Else the order given stays
+    (rule 10).
+    """
+    known = [one for one in dict.fromkeys(endpoints) if one.family in preference.families][:MOST]
+    good = [one for one in known if usable(one)]
+    poor = [one for one in known if one not in good]
+    return [*interleave(good, preference, cost), *interleave(poor, preference, cost)]
+
+
+def interleave(
+    endpoints: Sequence[Endpoint], preference: Preference, cost: Callable[[Endpoint], int]
+) -> list[Endpoint]:
+    """Families take turns, the first with `first_count` addresses on its first turn."""
+    queues = [
+        sorted(
+            (one for one in endpoints if one.family is family),
+            key=lambda one: (scope_rank(one), cost(one)),  # a stable sort keeps the rest
+        )
+        for family in preference.families
+    ]
+    queues = [queue for queue in queues if queue]
+    found: list[Endpoint] = []
+    if queues:
+        head = max(preference.first_count - 1, 0)
+        found += queues[0][:head]
+        del queues[0][:head]
+    while any(queues):
+        found += [queue.pop(0) for queue in queues if queue]
+    return found
