Links over several addresses of a switch: connections raced, failures remembered

Change: the settings name a switch's addresses (IPv4, IPv6 with zone, Unix) and the order of families. The connector races bare sockets and gives only the winner to the link, so no set-up leaves on a loser; an address beaten by one that began later counts as timed out. Only when all refuse is a switch proven dead. Cause met on the way: the first state on a new connection, which comes there alone, made a quiet connection look mute when two connects lay 100 ms apart, and closed it; it is compared no more (the new test failed before). Result: with one address swallowing packets ten calls stood within 0.2 s each, none seen twice, four connections in all; a switch that leaves IPv4 is reached on IPv6 or its Unix socket; in daemon and library.

--- a/rowanmast/app/daemon.py
+++ b/rowanmast/app/daemon.py
@@ -7,11 +7,14 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from rowanmast import vrrp
-from rowanmast.app.parts import IaxPart, SipPart
+from rowanmast.addresses.order import Endpoint, Preference
+from rowanmast.app.parts import AddressedLinks, IaxPart, SipPart
 from rowanmast.app.router import Router
 from rowanmast.config import Config, ConfigError, IaxConfig, read_config
 from rowanmast.iax2.front import IaxFront
@@ -20,6 +23,9 @@
 from rowanmast.net.changelog import Reader
 from rowanmast.net.turn import now_us
 
+if TYPE_CHECKING:
+    from rowanmast.options.reader import Options
+
 FIXED = ("name", "listen", "sockets", "settings", "connect_s")  # in the configuration, until a restart
 
 log = logging.getLogger("rowanmast")
@@ -29,10 +35,19 @@
     """A router with callers over SIP and, where the settings have it, IAX2."""
 
     def __init__(
-        self, config: Config, iax: IaxConfig | None, reader: Reader, loop: asyncio.AbstractEventLoop
+        self,
+        config: Config,
+        iax: IaxConfig | None,
+        reader: Reader,
+        loop: asyncio.AbstractEventLoop,
+        addresses: Mapping[str, Sequence[Endpoint]] | None = None,
+        preference: Preference | None = None,
     ) -> None:
+        """`addresses` are those of switches that have some beside the change log's, by the switch's name."""
         self.callers = Callers(self, config.sockets // 2, now_us)
         super().__init__(config, reader, loop, heir=self.callers)
+        if addresses:
+            self.use(AddressedLinks(self, addresses, preference or Preference()).make_link)
         self.iax = None if iax is None else IaxPart(self, iax)
         if self.iax is not None:
             self.add(self.iax)
@@ -74,19 +89,23 @@
         self.changes.turn_to(config.changelog)
 
 
-async def serve(config: Config, iax: IaxConfig | None, reader: Reader) -> None:
-    daemon = Daemon(config, iax, reader, asyncio.get_running_loop())
+async def serve(config: Config, options: Options | None, reader: Reader) -> None:
+    loop = asyncio.get_running_loop()
+    if options is None:
+        daemon = Daemon(config, None, reader, loop)
+    else:
+        daemon = Daemon(config, options.iax, reader, loop, options.addresses, options.preference)
     daemon.mind_signals()
     await daemon.run()
 
 
-def read_own_settings(path: str | None) -> IaxConfig | None:
+def read_own_settings(path: str | None) -> Options | None:
     """Our own settings, where a file is named; the library that reads them is loaded only then."""
     if not path:
         return None
     from rowanmast.options.reader import read_options
 
-    return read_options(path).iax
+    return read_options(path)
 
 
 def start(config_path: str | None, settings_path: str | None) -> int:
@@ -94,13 +113,13 @@
     reader = Reader()
     try:
         config = read_config(config_path, reader)
-        iax = read_own_settings(settings_path)
+        options = read_own_settings(settings_path)
     except ConfigError as error:
         print(f"rowanmast: {error}", file=sys.stderr)
         return 1
     logs.set_up(config.name)
     try:
-        uvloop.run(serve(config, iax, reader))
+        uvloop.run(serve(config, options, reader))
     except OSError as error:
         print(f"rowanmast: can't listen: {error}", file=sys.stderr)
         return 1
--- a/rowanmast/app/parts.py
+++ b/rowanmast/app/parts.py
@@ -4,19 +4,42 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping, Sequence
 
 from rowanmast import vrrp
+from rowanmast.addresses import order
+from rowanmast.addresses.connector import Connector
 from rowanmast.app.router import Address, ClosableLink, Router
 from rowanmast.config import IaxConfig
 from rowanmast.iax2.endpoint import Endpoint
 from rowanmast.iax2.front import IaxFront
 from rowanmast.iax2.peers import IaxLink
 from rowanmast.net import callers
+from rowanmast.net.peers import PeerLink
 from rowanmast.net.turn import now_us
 
 log = logging.getLogger("rowanmast")
 
 
+class AddressedLinks:
+    """Makes the links to switches for which the settings give several addresses."""
+
+    def __init__(
+        self, router: Router, addresses: Mapping[str, Sequence[order.Endpoint]], preference: order.Preference
+    ) -> None:
+        self.router = router
+        self.addresses = addresses
+        self.preference = preference
+
+    def make_link(self, exchange: str, address: Address) -> ClosableLink | None:
+        endpoints = self.addresses.get(exchange)
+        if not endpoints:
+            return None
+        router, within_s = self.router, self.router.config.connect_s
+        connector = Connector(exchange, endpoints, self.preference, router.random, now_us, within_s)
+        return PeerLink(exchange, address, router, router.ledger, within_s, router.random, connector)
+
+
 class SipPart:
     """Callers over SIP, and the socket that they come to."""
 
--- a/rowanmast/embed/router.py
+++ b/rowanmast/embed/router.py
@@ -15,13 +15,14 @@
 import threading
 import time
 import weakref
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
 from contextlib import asynccontextmanager, contextmanager, suppress
 from types import TracebackType
 
 import uvloop
 
-from rowanmast.app.parts import IaxPart
+from rowanmast.addresses.order import Endpoint, Preference
+from rowanmast.app.parts import AddressedLinks, IaxPart
 from rowanmast.app.router import Router
 from rowanmast.causes import NORMAL_CLEARING, TEMPORARY_FAILURE
 from rowanmast.config import Config, IaxConfig, read_config
@@ -272,16 +273,21 @@
         share: ColdShare | None = None,
         iax: IaxConfig | None = None,
         reader: Reader | None = None,
+        addresses: Mapping[str, Sequence[Endpoint]] | None = None,
+        preference: Preference | None = None,
     ) -> None:
         """`config` is a checked configuration, of which `listen` and `sockets` are not used here.
 
         Give routers of one process the same `share`, and configurations of different names, so that together
-        they keep a cold switch's limit. With `iax`, IAX2 callers and switches are served as well.
+        they keep a cold switch's limit. With `iax`, IAX2 callers and switches are served as well. `addresses`
+        are those of switches that have some beside the change log's, tried in the order of `preference`.
         """
         self.config = config
         self.name = config.name
         self.share = share
         self.iax = iax
+        self.addresses = dict(addresses or {})
+        self.preference = preference or Preference()
         self.reader = reader or Reader()
         self.desk = HostDesk(bounds or Bounds())
         self.router: Router | None = None
@@ -308,7 +314,15 @@
         from rowanmast.options.reader import read_options  # its library is loaded only where it is used
 
         options = read_options(settings)
-        return cls(checked, bounds=options.bounds, share=share, iax=options.iax, reader=reader)
+        return cls(
+            checked,
+            bounds=options.bounds,
+            share=share,
+            iax=options.iax,
+            reader=reader,
+            addresses=options.addresses,
+            preference=options.preference,
+        )
 
     # Life
 
@@ -466,6 +480,8 @@
         self.stop_asked = asyncio.Event()
         router = self.router = Router(self.config, self.reader, loop, share=self.share)
         try:
+            if self.addresses:
+                router.use(AddressedLinks(router, self.addresses, self.preference).make_link)
             if self.iax is not None:
                 part = IaxPart(router, self.iax)
                 router.add(part)
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -16,6 +16,8 @@
 
 from rowanmast import causes
 from rowanmast import interface as api
+from rowanmast.addresses.connector import Connector
+from rowanmast.addresses.order import Endpoint
 from rowanmast.core.ports import (
     Answered,
     Attempt,
@@ -62,13 +64,16 @@
         gate: Gate,
         connect_s: float,
         random: Random,
+        connector: Connector | None = None,
     ) -> None:
+        """`address` is the change log's; with a `connector`, connections go to the addresses that it has."""
         self.exchange = exchange
         self.address = address
         self.inbox = inbox
         self.gate = gate
         self.connect_s = connect_s
         self.random = random
+        self.connector = connector
         self.connections: list[Connection] = []
         self.task: asyncio.Task[None] | None = None
         self.retry: asyncio.TimerHandle | None = None
@@ -137,7 +142,9 @@
                 self.close_heard(connection, line)
             case "status":
                 self.inbox.post(api.Reported(self.exchange, True, 0, line.report))
-                self.compare(connection)
+                if connection.greeted:  # the first state on a new connection comes there alone
+                    self.compare(connection)
+                connection.greeted = True
             case "probed":
                 delay = 0 if self.probed_at is None else now_us() - self.probed_at
                 self.inbox.post(api.Reported(self.exchange, line.code == 1, delay * 1000, line.report))
@@ -192,12 +199,21 @@
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         try:
+            if self.connector is not None:
+                made: list[Connection] = []
+                endpoint = await self.connector.connect(lambda: self.take_part(made))
+                made[0].endpoint = endpoint
+                return
             async with asyncio.timeout(self.connect_s):
                 await loop.create_connection(lambda: Connection(self), *self.address)
         except OSError as error:  # a timeout is one too
             self.task = None
             self.failed(refused=isinstance(error, ConnectionRefusedError))
 
+    def take_part(self, made: list[Connection]) -> Connection:
+        made.append(Connection(self))
+        return made[-1]
+
     def failed(self, refused: bool) -> None:
         log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
         for attempt in self.waiting.values():
@@ -237,6 +253,8 @@
             self.pause = RETRY_S
             self.connect()
         elif self.task is None:  # one that is reset while new, each time, is not asked for without a pause
+            if self.connector is not None and connection.endpoint is not None:
+                self.connector.broke(connection.endpoint)
             self.retry_later()
 
     def retry_later(self) -> None:
@@ -268,7 +286,9 @@
         self.parser = jsonlines.Parser()
         self.out: dict[str, Attempt] = {}
         self.begun = self.heard_at = now_us()
+        self.endpoint: Endpoint | None = None  # to which it goes, where the switch has several
         self.behind_since = 0
+        self.greeted = False  # a state has come on it
         self.stopped: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/rowanmast/options/reader.py
+++ b/rowanmast/options/reader.py
@@ -9,6 +9,7 @@
 from google.protobuf import text_format
 
 from rowanmast import vrrp
+from rowanmast.addresses.order import MOST, Endpoint, EndpointError, Family, Preference, read_endpoint
 from rowanmast.config import ConfigError, IaxConfig, PairConfig
 from rowanmast.embed.admission import Bounds
 from rowanmast.options import settings_pb2 as schema
@@ -23,6 +24,8 @@
 
     iax: IaxConfig | None
     bounds: Bounds
+    addresses: dict[str, tuple[Endpoint, ...]]  # of switches by name
+    preference: Preference
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +96,33 @@
         raise ConfigError(f"{name}:{line}: {words.strip()}") from None
     source = Source(name, text)
     iax = read_iax(message.iax, source) if message.HasField("iax") else None
-    return Options(iax, read_bounds(message.embedded, source))
+    addresses = read_addresses(message, source)
+    return Options(iax, read_bounds(message.embedded, source), addresses, read_families(message, source))
+
+
+def read_addresses(message: schema.Settings, source: Source) -> dict[str, tuple[Endpoint, ...]]:
+    found: dict[str, tuple[Endpoint, ...]] = {}
+    for at, switch in enumerate(message.switches):
+        field = f"switches[{at}]"
+        if not switch.exchange or switch.exchange in found:
+            raise source.error(f"{field}.exchange", "give the switch's name in the change log, each once")
+        if not 1 <= len(switch.addresses) <= MOST:
+            raise source.error(f"{field}.addresses", f"give 1 to {MOST} addresses")
+        try:
+            found[switch.exchange] = tuple(map(read_endpoint, switch.addresses))
+        except EndpointError as error:
+            raise source.error(f"{field}.addresses", str(error)) from None
+    return found
+
+
+def read_families(message: schema.Settings, source: Source) -> Preference:
+    if not message.families:
+        return Preference()
+    known = {family.value: family for family in Family}
+    for name in message.families:
+        if name not in known or list(message.families).count(name) > 1:
+            raise source.error("families", f"{name!r}: give each of {', '.join(known)} once at most")
+    return Preference(tuple(known[name] for name in message.families))
 
 
 def read_iax(iax: schema.Iax, source: Source) -> IaxConfig:
--- /dev/null
+++ b/tests/test_address_links.py
@@ -0,0 +1,177 @@
+"""A switch that listens on IPv4, IPv6 and a Unix socket, some of which are dead or swallow what comes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from standins import JsonSide, JsonSwitch, SipCaller, Town, eventually, ports
+
+from rowanmast.addresses.memory import Failure
+from rowanmast.addresses.order import read_endpoint
+from rowanmast.options.reader import parse_options
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    uvloop.run(asyncio.wait_for(test(), 30))
+
+
+@contextlib.contextmanager
+def black_hole() -> Iterator[tuple[str, int]]:
+    """An address of loopback that swallows packets: a listener that accepts nothing, its queue full."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket(socket.AF_INET6))
+        listener.bind(("::1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket(socket.AF_INET6))
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        time.sleep(0.05)
+        yield listener.getsockname()[:2]
+
+
+async def listen_too(switch: JsonSwitch, path: Path, port: int) -> list[Any]:
+    """The same switch on IPv6 and on a Unix socket; the servers, to be closed."""
+    loop = asyncio.get_running_loop()
+    return [
+        await loop.create_server(lambda: JsonSide(switch), "::1", port),
+        await loop.create_unix_server(lambda: JsonSide(switch), str(path)),
+    ]
+
+
+async def place(town: Town, count: int, left_s: float = 3.0) -> list[float]:
+    """Calls one after the other, each standing and released; returns how long each took to stand."""
+    caller = SipCaller(town.watch, town.sip_port)
+    await caller.start()
+    took = []
+    for at in range(count):
+        begun = time.monotonic()
+        caller.dial(f"7{at}", left_s=left_s)
+        assert (await caller.answer(f"7{at}"))[0] == "answer"
+        took.append(time.monotonic() - begun)
+        await asyncio.wait_for(caller.over[f"7{at}"].wait(), 5)
+    town.watch.all_answered()
+    return took
+
+
+def families_of(switch: JsonSwitch) -> set[int]:
+    open_ones = (one for one in switch.transports if not one.is_closing())
+    return {int(one.get_extra_info("socket").family) for one in open_ones}
+
+
+def test_a_swallowed_address_costs_no_call_and_nothing_is_seen_twice(tmp_path: Path) -> None:
+    async def test() -> None:
+        with black_hole() as (host, port):
+            town = Town()
+            switch = town.json_switch("s1", 1)
+            town.addresses["s1"] = [
+                read_endpoint(f"[{host}]:{port}"),
+                read_endpoint(f"127.0.0.1:{switch.port}"),
+            ]
+            async with town:
+                took = await place(town, 10)
+                assert max(took) < 0.2, "the link was up before, over the address that works"
+                assert switch.taken == 10 and max(town.watch.sends.values()) == 1
+                assert families_of(switch) == {socket.AF_INET}
+                connector = town.router.peers["s1"].connector
+                assert connector.memory.of(town.addresses["s1"][0]).failures >= 1
+                await eventually(lambda: len(switch.transports) == 4)
+                await asyncio.sleep(0.6)
+                assert len(switch.transports) == 4, "four connections a switch in all"
+
+    run(test)
+
+
+def test_a_switch_on_three_addresses_is_reached_while_any_works(tmp_path: Path) -> None:
+    async def test() -> None:
+        town = Town()
+        switch = town.json_switch("s1", 1)
+        path, (port,) = tmp_path / "s", ports(1)
+        town.addresses["s1"] = [
+            read_endpoint(f"127.0.0.1:{switch.port}"),
+            read_endpoint(f"[::1]:{port}"),
+            read_endpoint(f"unix:{path}"),
+        ]
+        async with town:
+            assert families_of(switch) == {socket.AF_INET}, "only IPv4 listens yet"
+            others = await listen_too(switch, path, port)
+            await place(town, 2)
+            switch.server.close()  # IPv4 goes, with its connections
+            for transport in list(switch.transports):
+                transport.abort()
+            await eventually(lambda: families_of(switch) <= {socket.AF_UNIX, socket.AF_INET6})
+            await eventually(lambda: bool(families_of(switch)))
+            caller = SipCaller(town.watch, town.sip_port)
+            await caller.start()
+            caller.dial("91", left_s=3.0)
+            assert (await caller.answer("91"))[0] == "answer"
+            await asyncio.wait_for(caller.over["91"].wait(), 5)
+            assert max(town.watch.sends.values()) == 1
+            town.watch.all_answered()
+            for server in others:
+                server.close()
+
+    run(test)
+
+
+def test_only_when_every_address_refuses_is_the_switch_proven_dead(tmp_path: Path) -> None:
+    async def test() -> None:
+        with black_hole() as (host, port):
+            town = Town()
+            switch = town.json_switch("s1", 1)
+            town.addresses["s1"] = [
+                read_endpoint(f"127.0.0.1:{switch.port}"),
+                read_endpoint(f"[{host}]:{port}"),
+            ]
+            switch.hold_s = 60
+            async with town:
+                caller = SipCaller(town.watch, town.sip_port)
+                await caller.start()
+                caller.dial("71")
+                await caller.answer("71")
+                switch.stop()  # its IPv4 address refuses from now on, the other one tells nothing
+                await asyncio.sleep(1.5)
+                assert not caller.over["71"].is_set(), "what stands is not cut on half a proof"
+                connector = town.router.peers["s1"].connector
+                assert connector.memory.of(town.addresses["s1"][0]).last is Failure.REFUSED
+                town.watch.gone("71")
+                town.watch.ended("71")
+                caller.request("BYE", "71")
+                await asyncio.sleep(0.1)
+
+    run(test)
+
+
+def test_the_settings_name_addresses_and_families() -> None:
+    options = parse_options(
+        'switches { exchange: "s1" addresses: "10.1.0.9:2905" addresses: "unix:/run/s" }\nfamilies: "ip4"'
+    )
+    assert [str(one) for one in options.addresses["s1"]] == ["10.1.0.9:2905", "unix:/run/s"]
+    assert [family.value for family in options.preference.families] == ["ip4"]
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        ('switches { exchange: "s1" }', r"^f:1: switches\[0\].addresses: give 1 to 16 addresses"),
+        (
+            'switches {\n exchange: "s1"\n addresses: "10.1.0.9" }',
+            r"^f:3: switches\[0\].addresses: '10.1.0.9': give a port",
+        ),
+        ('\nfamilies: "ip5"', "^f:2: families: 'ip5': give each of unix, ip6, ip4 once at most"),
+    ],
+)
+def test_bad_addresses_are_named(text: str, error: str) -> None:
+    with pytest.raises(ValueError, match=error):
+        try:
+            parse_options(text, "f")
+        except Exception as caught:
+            raise ValueError(str(caught)) from None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -217,6 +217,20 @@
     assert not other.closed and AttemptOver("x1", "c1", 0, api.Outcome.CUT) in model.inbox.take()
 
 
+def test_the_first_state_on_a_new_connection_tells_nothing_of_the_others() -> None:
+    # It comes on the new one alone; two connects 100 ms apart closed a quiet one that was well.
+    model = connected()
+    status = jsonlines.write("status", "", {"load": "x0:1"})
+    (quiet,) = model.lines
+    quiet.protocol.data_received(status)
+    for _ in range(2):
+        model.step("up", 0)
+        quiet.protocol.heard_at = now_us() - SAME_US - BEHIND_US
+        quiet.protocol.behind_since = quiet.protocol.behind_since and now_us() - BEHIND_US
+        model.lines[-1].protocol.data_received(status)
+        assert not quiet.closed and not quiet.protocol.behind_since
+
+
 def test_a_line_that_stops_short_ends_its_connection() -> None:
     async def test() -> None:
         model = connected()
