--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -223,11 +223,13 @@
     status = jsonlines.write("status", "", {"load": "x0:1"})
     (quiet,) = model.lines
     quiet.protocol.data_received(status)
+    model.inbox.take()
     for _ in range(2):
         model.step("up", 0)
         quiet.protocol.heard_at = now_us() - SAME_US - BEHIND_US
         quiet.protocol.behind_since = quiet.protocol.behind_since and now_us() - BEHIND_US
         model.lines[-1].protocol.data_received(status)
+        model.inbox.take()
         assert not quiet.closed and not quiet.protocol.behind_since
 
 
