Log connection states, cut calls and running totals; say why a call ended

Change: connection_opened, connection_closed (why, age, silence, set-ups out), call_cut (why), totals each 10 s. Decisions and rules are unchanged.

--- a/rowanmast/app/router.py
+++ b/rowanmast/app/router.py
@@ -28,6 +28,7 @@
 KILL_MARGIN_S = 0.4  # before it may, we leave the calls that still stand
 SETTLE_S = 0.05  # time for the last bytes to leave
 POLL_S = 0.02
+TOTALS_S = 10.0  # between two lines of totals in the log
 
 Address = tuple[str, int]
 Clock = Callable[[], int]
@@ -91,6 +92,7 @@
         self.parts: list[Part] = []
         self.makers: list[LinkMaker] = []
         self.closing = False
+        self.totals_timer: asyncio.TimerHandle | None = None
         self.ready = asyncio.Event()
         self.stop = asyncio.Event()
 
@@ -147,8 +149,16 @@
         self.changes.start()
         for part in self.parts:
             await part.open()
+        self.log_totals()
         self.ready.set()
 
+    def log_totals(self) -> None:
+        """Logs what has become of calls so far, where that has changed, and again later."""
+        counts = self.ledger.totals.changes()
+        if counts:
+            log.info("totals", extra={**counts, "open": len(self.ledger.records)})
+        self.totals_timer = self.loop.call_later(TOTALS_S, self.log_totals)
+
     async def run(self) -> None:
         """Serves until `stop` is set, then shuts down."""
         await self.open()
@@ -183,7 +193,10 @@
         for part in self.parts:
             part.close()
         await asyncio.sleep(SETTLE_S)
-        log.info("stopped", extra={"owed": self.ledger.owed(), "standing": standing})
+        if self.totals_timer is not None:
+            self.totals_timer.cancel()
+        totals = self.ledger.totals.changes()
+        log.info("stopped", extra={"owed": self.ledger.owed(), "standing": standing, **totals})
         self.changes.stop()
         self.turn.close()
 
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -24,6 +24,7 @@
     AttemptOver,
     CallOver,
     Cancelled,
+    Ending,
     Failure,
     Front,
     Input,
@@ -34,6 +35,7 @@
     SwitchDown,
     SwitchLink,
 )
+from rowanmast.core.totals import Totals
 
 NS = 1000  # nanoseconds in a microsecond: the module counts in them
 GONE = NoLink()
@@ -60,6 +62,7 @@
     not_before: int = 0  # the release of the last attempt must be awaited
     answered: bool = False
     stands: Attempt | None = None
+    stands_since: int = 0
 
 
 Due = Attempt | api.TimerDue | Record
@@ -92,6 +95,7 @@
         self.past: OrderedDict[str, int] = OrderedDict()  # calls that are over: since when
         self.now = 0
         self.freed: list[Record] = []  # whose release is awaited from this turn on
+        self.totals = Totals()
         self.turn_serial = 0  # of the first entry of the timer heap made in this turn
 
     # The turn
@@ -163,7 +167,7 @@
             link = self.link(record.stands.exchange)
             if not (link.lasting and record.offer.front.lasting):
                 link.release(record.offer.call, TEMPORARY_FAILURE)
-                self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
+                self.cut(record, Ending.ROUTER_STOPPED)
 
     def take(self, item: Input) -> None:
         match item:
@@ -183,7 +187,7 @@
             case CallOver():
                 self.on_call_over(item)
             case SwitchDown():
-                self.cut_all(item.exchange)
+                self.cut_all(item.exchange, Ending.SWITCH_DOWN)
             case api.ExchangeList():
                 self.on_list(item)
             case api.Reported():
@@ -255,6 +259,7 @@
             log.warning("unfit_call", extra={"call": offer.call, "class": offer.klass})
             offer.front.fail(offer.call, Failure.UNFIT)
             return
+        self.totals.add("offered")
         record = self.records[offer.call] = Record(offer, self.now + offer.left_us)
         self.at(record.deadline, record)
         self.events.append(
@@ -279,7 +284,8 @@
             return
         if record.stands is not None:  # our answer crossed it, so the caller is told that the call is over
             self.link(record.stands.exchange).release(call, NORMAL_CLEARING)
-            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, NORMAL_CLEARING)
+            ending = Ending.CALLER_CANCELLED
+            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, NORMAL_CLEARING, ending)
         elif not record.answered:
             self.events.append(api.HungUp(call))
             self.finish(record, Failure.CANCELLED)
@@ -288,7 +294,7 @@
         record = self.records.get(item.call)
         if record is not None and record.stands is not None:
             self.link(record.stands.exchange).release(item.call, item.cause)
-            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, None)
+            self.end_call(record, api.Outcome.CALLED_OFF, NO_REPORT, None, Ending.CALLER_RELEASED)
 
     # What switches say
 
@@ -304,7 +310,7 @@
             self.link(item.exchange).release(item.call, NORMAL_CLEARING)
             self.end_attempt(record, api.Outcome.TIMED_OUT, None, NO_REPORT)
             return
-        record.out, record.stands = None, out
+        record.out, record.stands, record.stands_since = None, out, self.now
         delay = (self.now - out.sent) * NS
         self.events.append(api.Stands(item.call, out.number, out.exchange, delay))
         self.give_answer(record, item.text)
@@ -317,7 +323,7 @@
         if record is not None and record.stands is not None and record.stands.exchange == item.exchange:
             done = item.outcome is api.Outcome.DONE
             cause = NORMAL_CLEARING if done else TEMPORARY_FAILURE
-            self.end_call(record, item.outcome, item.report, cause)
+            self.end_call(record, item.outcome, item.report, cause, Ending.SWITCH_RELEASED)
 
     def on_list(self, item: api.ExchangeList) -> None:
         self.events.append(item)
@@ -328,13 +334,13 @@
             exchange: entry for exchange, entry in self.listed.items() if entry.state is not api.State.GONE
         }
         for exchange in before.keys() - self.listed.keys():
-            self.cut_all(exchange)
+            self.cut_all(exchange, Ending.SWITCH_REMOVED)
 
-    def cut_all(self, exchange: str) -> None:
+    def cut_all(self, exchange: str, why: Ending) -> None:
         """A switch is gone, and what stood or was being set up there with it."""
         for record in list(self.records.values()):
             if record.stands is not None and record.stands.exchange == exchange:
-                self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE)
+                self.cut(record, why)
             elif record.out is not None and record.out.exchange == exchange:
                 self.call_off(record, api.Outcome.CUT)
 
@@ -368,6 +374,7 @@
         report: api.Report,
         final: bool,
     ) -> None:
+        self.totals.add(f"attempt_{outcome.name.lower()}")
         self.events.append(
             api.Ended(
                 call=attempt.call,
@@ -390,19 +397,36 @@
         call, front = record.offer.call, record.offer.front
         match answer:
             case str():
+                self.totals.add("answered")
                 front.answer(call, answer)
                 return
             case int():
+                self.totals.add("refused")
                 front.refuse(call, answer)
             case Failure():
+                self.totals.add(f"failed_{answer.name.lower()}")
                 front.fail(call, answer)
         self.over.append(call)
 
+    def cut(self, record: Record, why: Ending) -> None:
+        """Ends a call that stood, but not by the word of its caller or of its switch."""
+        assert record.stands is not None
+        stood_ms = (self.now - record.stands_since) // 1000
+        details = {"call": record.offer.call, "exchange": record.stands.exchange, "stood_ms": stood_ms}
+        log.info("call_cut", extra={**details, "why": why.value})
+        self.end_call(record, api.Outcome.CUT, NO_REPORT, TEMPORARY_FAILURE, why)
+
     def end_call(
-        self, record: Record, outcome: api.Outcome, report: api.Report, tell_caller: int | None
+        self,
+        record: Record,
+        outcome: api.Outcome,
+        report: api.Report,
+        tell_caller: int | None,
+        why: Ending,
     ) -> None:
         stood, record.stands = record.stands, None
         assert stood is not None
+        self.totals.add(f"ended_{why.value}")
         self.over.append(record.offer.call)
         if tell_caller is not None:
             record.offer.front.release(record.offer.call, tell_caller)
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -21,6 +21,17 @@
     UNFIT = "unfit"  # its class is unknown, or its id that of a call that is there already
 
 
+class Ending(Enum):
+    """Why a call that stood is over; the value goes into the log."""
+
+    SWITCH_RELEASED = "switch_released"
+    CALLER_RELEASED = "caller_released"
+    CALLER_CANCELLED = "caller_cancelled"  # its CANCEL crossed our answer
+    SWITCH_DOWN = "switch_down"  # a refused connection proves that the switch's process is dead
+    SWITCH_REMOVED = "switch_removed"  # discovery no longer lists the switch
+    ROUTER_STOPPED = "router_stopped"
+
+
 class Front(Protocol):
     """Where calls come from."""
 
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -83,6 +83,7 @@
         self.unsent: list[bytes] = []  # releases that found no connection
         self.probed_at: int | None = None
         self.closed = False
+        self.last_number = 0  # of its connections, in the order in which they came up
         self.connect()
 
     # The port
@@ -178,7 +179,7 @@
 
     def leave(self, connection: Connection) -> None:
         log.warning("switch_silent", extra={"exchange": self.exchange, "out": len(connection.out)})
-        self.lost(connection)
+        self.lost(connection, "silent")
         connection.close()
 
     def ended(self, call: str) -> Attempt | None:
@@ -229,6 +230,9 @@
             connection.close()
             return
         self.connections.append(connection)
+        self.last_number += 1
+        connection.number = self.last_number
+        log.info("connection_opened", extra={"exchange": self.exchange, "connection": connection.number})
         for line in self.unsent:
             connection.write(line)
         self.unsent.clear()
@@ -240,11 +244,12 @@
                 self.over(attempt, api.Outcome.NOT_SENT)
         self.connect()
 
-    def lost(self, connection: Connection) -> None:
+    def lost(self, connection: Connection, why: str) -> None:
         """The switch gives up the set-ups of a connection that closes; what stands is not touched."""
         if connection not in self.connections:
             return
         self.connections.remove(connection)
+        self.log_closed(connection, why)
         for attempt in connection.out.values():
             del self.out[attempt.call]
             self.over(attempt, api.Outcome.CUT)
@@ -257,6 +262,19 @@
                 self.connector.broke(connection.endpoint)
             self.retry_later()
 
+    def log_closed(self, connection: Connection, why: str) -> None:
+        now = now_us()
+        details = {
+            "exchange": self.exchange,
+            "connection": connection.number,
+            "why": why,
+            "open_ms": (now - connection.begun) // 1000,
+            "silent_ms": (now - connection.heard_at) // 1000,
+            "out": len(connection.out),
+            "left": len(self.connections),
+        }
+        log.info("connection_closed", extra=details)
+
     def retry_later(self) -> None:
         if not self.closed:
             wait = self.pause * self.random.uniform(0.5, 1.5)
@@ -283,6 +301,7 @@
     def __init__(self, link: PeerLink) -> None:
         super().__init__(link.exchange, MAX_UNREAD)
         self.link = link
+        self.number = 0
         self.parser = jsonlines.Parser()
         self.out: dict[str, Attempt] = {}
         self.begun = self.heard_at = now_us()
@@ -316,10 +335,11 @@
 
     def unreadable(self, why: object) -> None:
         """From here on nothing is sent on it, though the close itself takes effect a turn later."""
-        self.link.lost(self)
+        self.link.lost(self, "unreadable")
         super().unreadable(why)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.stopped is not None:
             self.stopped.cancel()
-        self.link.lost(self)
+        why = "removed" if self.link.closed else "closed_by_switch" if exc is None else type(exc).__name__
+        self.link.lost(self, why)
