--- /dev/null
+++ b/rowanmast/trials/callers.py
@@ -0,0 +1,174 @@
+"""Stand-in callers that speak SIP: they dial, acknowledge, and note every answer and release."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import cast
+
+from rowanmast.net import sip
+from rowanmast.trials.routers import KLASS, RouterProcess
+from rowanmast.trials.watch import Watch
+
+REFUSALS = (480, 503)
+IDLE_CLOSE_S = 4.0  # a connection that carries no call for so long is closed
+
+
+@dataclass(slots=True)
+class CallerCounts:
+    """What became of the calls offered to one router."""
+
+    offered: int = 0
+    stood: int = 0
+    refused: int = 0
+    failed: int = 0
+    released: int = 0
+
+
+class Callers:
+    """The callers of one router: `lines` connections, calls at random times of `rate` a second."""
+
+    def __init__(
+        self,
+        router: RouterProcess,
+        destinations: list[int],
+        watch: Watch,
+        clock: Callable[[], float],
+        *,
+        rate: float,
+        wait_s: float,
+        seed: int,
+        lines: int = 2,
+        redial_share: float = 0.3,
+        give_up_share: float = 0.0,
+    ) -> None:
+        self.router = router
+        self.destinations = destinations
+        self.watch = watch
+        self.clock = clock
+        self.rate = rate
+        self.wait_s = wait_s
+        self.lines = lines
+        self.redial_share = redial_share
+        self.give_up_share = give_up_share
+        self.random = Random(seed)
+        self.connections: list[CallerLine] = []
+        self.counts = CallerCounts()
+        self.serial = 0
+        self.dialling = False
+
+    async def dial_on(self) -> None:
+        """Dials until it is cancelled; connections that are lost are opened anew while the router listens."""
+        self.dialling = True
+        while True:
+            await asyncio.sleep(self.random.expovariate(self.rate))
+            await self.open_lines()
+            self.dial_any()
+
+    async def open_lines(self) -> None:
+        while len(self.connections) < self.lines:
+            try:
+                await asyncio.get_running_loop().create_connection(
+                    lambda: CallerLine(self), *self.router.listen
+                )
+            except OSError:
+                return
+
+    def dial_any(self) -> None:
+        if self.connections:
+            self.random.choice(self.connections).dial(self.random.choice(self.destinations))
+
+    def redial(self) -> None:
+        """A caller that was refused comes again at once, with a new id."""
+        if self.dialling and self.random.random() < self.redial_share:
+            asyncio.get_running_loop().call_later(self.random.uniform(0.0, 0.1), self.dial_any)
+
+    def stop_dialling(self) -> None:
+        self.dialling = False
+
+    def close(self) -> None:
+        for line in list(self.connections):
+            line.transport.close()
+
+
+class CallerLine(asyncio.Protocol):
+    """One connection of callers."""
+
+    def __init__(self, callers: Callers) -> None:
+        self.callers = callers
+        self.parser = sip.Parser()
+        self.transport: asyncio.Transport
+        self.unanswered: dict[str, asyncio.TimerHandle | None] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.callers.connections.append(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.callers.connections.remove(self)
+        now = self.callers.clock()
+        for call, timer in self.unanswered.items():
+            if timer is not None:
+                timer.cancel()
+            if self.callers.router.is_running:
+                self.callers.watch.connection_closed(now, call)
+
+    def write(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def dial(self, destination: int) -> None:
+        callers = self.callers
+        if self.transport.is_closing():
+            return
+        callers.serial += 1
+        call = f"{callers.router.number:04x}{callers.serial:012x}"
+        headers = (
+            ("Via", "SIP/2.0/TCP trial"),
+            ("Call-ID", call),
+            ("CSeq", "1 INVITE"),
+            ("X-Service", KLASS),
+            ("X-Setup-Ms", str(int(callers.wait_s * 1000))),
+            ("X-Route", f"dest:{destination};width:1;via:-1"),
+        )
+        callers.counts.offered += 1
+        self.unanswered[call] = None
+        callers.watch.offered(callers.clock(), call, callers.router.name, callers.wait_s)
+        self.write(sip.write(f"INVITE sip:{call}@net SIP/2.0", headers, call.encode()))
+        if callers.random.random() < callers.give_up_share:
+            delay = callers.random.uniform(0.0, 0.1)
+            self.unanswered[call] = asyncio.get_running_loop().call_later(delay, self.give_up, call)
+
+    def give_up(self, call: str) -> None:
+        self.callers.watch.withdrawn(call)
+        self.request("CANCEL", call)
+
+    def request(self, method: str, call: str) -> None:
+        headers = (("Call-ID", call), ("CSeq", f"1 {method}"))
+        self.write(sip.write(f"{method} sip:{call}@net SIP/2.0", headers))
+
+    def data_received(self, data: bytes) -> None:
+        for message in self.parser.feed(data):
+            if message.method == "BYE":
+                self.callers.counts.released += 1
+                self.callers.watch.release_heard(self.callers.clock(), message.call_id)
+                self.write(sip.respond(message, 200))
+            elif message.status >= 200 and message.cseq_method == "INVITE":
+                self.answered(message)
+
+    def answered(self, message: sip.Message) -> None:
+        callers, call = self.callers, message.call_id
+        timer = self.unanswered.pop(call, None)
+        if timer is not None:
+            timer.cancel()
+        callers.watch.answered(callers.clock(), call, message.status, message.body.decode())
+        self.request("ACK", call)
+        if message.status == 200:
+            callers.counts.stood += 1
+        elif message.status in REFUSALS:
+            callers.counts.refused += 1
+            callers.redial()
+        else:
+            callers.counts.failed += 1
--- /dev/null
+++ b/rowanmast/trials/routers.py
@@ -0,0 +1,96 @@
+"""Router processes of a trial: started as the platform starts them, ended by signals, their logs kept."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from rowanmast.lab.demo import settings_document
+
+READY_S = 15.0
+KLASS = "item-lookup"
+
+
+class RouterProcess:
+    """One router: `name` and `listen` stay the same over restarts."""
+
+    def __init__(self, name: str, number: int, listen: tuple[str, int], folder: Path) -> None:
+        self.name = name
+        self.number = number
+        self.listen = listen
+        self.folder = folder
+        self.lines: list[str] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.reading: asyncio.Task[None] | None = None
+        self.ready = asyncio.Event()
+        self.starts = 0
+
+    def configure(self, changelog: tuple[str, int], known: dict[str, Any], deadline_s: float) -> None:
+        """Writes the configuration as the platform does."""
+        settings = settings_document()
+        settings["services"][0] |= {"name": KLASS, "hard_limit_ns": int(deadline_s * 1e9)}
+        settings["family_info"]["self_no"] = self.number
+        document = {
+            "name": self.name,
+            "listen": "{}:{}".format(*self.listen),
+            "seed": f"{self.number * 1000 + self.starts:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "changelog": "{}:{}".format(*changelog),
+            "known": known,
+            "settings": settings,
+        }
+        self.config_path.write_text(json.dumps(document))
+
+    @property
+    def config_path(self) -> Path:
+        return self.folder / f"{self.name}.json"
+
+    async def start(self) -> None:
+        """Starts the process and waits until it listens. Raises TimeoutError."""
+        self.starts += 1
+        self.ready.clear()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "rowanmast",
+            env={**os.environ, "PROXY_CONFIG": str(self.config_path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.reading = asyncio.get_running_loop().create_task(self.read())
+        await asyncio.wait_for(self.ready.wait(), READY_S)
+
+    async def read(self) -> None:
+        assert self.process is not None and self.process.stderr is not None
+        while line := await self.process.stderr.readline():
+            self.lines.append(line.decode().rstrip("\n"))
+            if b"event=ready" in line:
+                self.ready.set()
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def ended(self, within_s: float) -> int | None:
+        """The exit code, or None if the process is still running by then."""
+        assert self.process is not None
+        try:
+            return await asyncio.wait_for(self.process.wait(), within_s)
+        except TimeoutError:
+            return None
+
+    async def kill(self) -> None:
+        """Ends the process at once and waits until it is gone."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+        if self.reading is not None:
+            await self.reading
--- /dev/null
+++ b/rowanmast/trials/schedule.py
@@ -0,0 +1,118 @@
+"""What happens in a trial, and when: a pure function of its seed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+
+class FaultKind(Enum):
+    """A fault; the value is its name in reports. Most have an end, `for_s` later."""
+
+    SWITCH_VANISHES = (
+        "switch_vanishes"  # and is replaced at its address when it ends; old connections are silent
+    )
+    SWITCH_CRASHES = "switch_crashes"  # and starts again at its address when it ends
+    SWITCH_HANGS = "switch_hangs"
+    SWITCH_CUT_OFF = "switch_cut_off"
+    SWITCH_RESETS = "switch_resets"  # its connections, all at once; it goes on
+    SWITCH_FORGETS = "switch_forgets"  # its connections say nothing any more; new ones work
+    SWITCH_DRAINS = "switch_drains"  # as discovery tells, and is removed when it ends
+    SWITCH_REMOVED = "switch_removed"  # as discovery tells, without a drain
+    DISCOVERY_REFUSES = "discovery_refuses"
+    DISCOVERY_SILENT = "discovery_silent"
+    ROUTER_STOPS = "router_stops"  # SIGTERM, SIGKILL at the earliest time, and a new start
+    ROUTER_KILLED = "router_killed"  # SIGKILL, and a new start
+    ROUTER_RELOADS = "router_reloads"  # SIGHUP, several times in quick succession
+    CALLERS_CROWD = "callers_crowd"  # many calls at once
+
+
+SWITCH_FAULTS = (
+    FaultKind.SWITCH_VANISHES,
+    FaultKind.SWITCH_CRASHES,
+    FaultKind.SWITCH_HANGS,
+    FaultKind.SWITCH_CUT_OFF,
+    FaultKind.SWITCH_RESETS,
+    FaultKind.SWITCH_FORGETS,
+    FaultKind.SWITCH_DRAINS,
+)
+DISCOVERY_FAULTS = (FaultKind.DISCOVERY_REFUSES, FaultKind.DISCOVERY_SILENT)
+ROUTER_FAULTS = (FaultKind.ROUTER_STOPS, FaultKind.ROUTER_KILLED, FaultKind.ROUTER_RELOADS)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault that begins `at_s` into the trial, at the switch or router with this index, and its length."""
+
+    at_s: float
+    kind: FaultKind
+    target: int = 0
+    for_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """A whole trial: its size, its load and its faults. Times are seconds, rates calls a second a router."""
+
+    seed: int
+    routers: int = 2
+    switches: int = 4
+    seconds: float = 16.0
+    rate: float = 25.0
+    wait_s: float = 1.5
+    deadline_s: float = 3.0
+    hold_s: float = 4.0
+    give_up_share: float = 0.0
+    faults: tuple[Fault, ...] = ()
+
+
+# Incident 86ef61: two switches vanish with calls standing on them while discovery is down for longer than the
+# 8 s in which the callers must know, and the removal is published when it is back.
+INCIDENT_86EF61 = Schedule(
+    seed=86,
+    switches=3,
+    seconds=12.0,
+    hold_s=60.0,
+    faults=(
+        Fault(2.0, FaultKind.DISCOVERY_REFUSES, for_s=12.0),
+        Fault(2.5, FaultKind.SWITCH_VANISHES, target=0, for_s=60.0),
+        Fault(2.5, FaultKind.SWITCH_VANISHES, target=1, for_s=60.0),
+        Fault(5.0, FaultKind.SWITCH_REMOVED, target=0),
+        Fault(5.0, FaultKind.SWITCH_REMOVED, target=1),
+    ),
+)
+
+
+def draw(seed: int) -> Schedule:
+    """A trial with two to five faults that overlap, most of them at switches."""
+    random = Random(seed)
+    switches = random.randint(2, 5)
+    routers = random.randint(1, 3)
+    seconds = random.uniform(10.0, 18.0)
+    faults = [draw_switch_fault(random, switches) for _ in range(random.randint(1, 3))]
+    if random.random() < 0.6:
+        kind = random.choice(DISCOVERY_FAULTS)
+        faults.append(Fault(random.uniform(1.0, 4.0), kind, for_s=random.uniform(2.0, 12.0)))
+    if random.random() < 0.6:
+        kind = random.choice(ROUTER_FAULTS)
+        faults.append(Fault(random.uniform(1.5, 8.0), kind, random.randrange(routers)))
+    if random.random() < 0.3:
+        faults.append(Fault(random.uniform(2.0, 8.0), FaultKind.CALLERS_CROWD, random.randrange(routers)))
+    return Schedule(
+        seed=seed,
+        routers=routers,
+        switches=switches,
+        seconds=seconds,
+        rate=random.uniform(10.0, 40.0),
+        wait_s=random.choice((0.4, 1.5, 3.0)),
+        deadline_s=random.choice((0.5, 2.0, 3.0, 9.0)),
+        hold_s=random.choice((0.5, 2.0, 6.0, 30.0)),
+        give_up_share=random.choice((0.0, 0.05)),
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+    )
+
+
+def draw_switch_fault(random: Random, switches: int) -> Fault:
+    kind = random.choice(SWITCH_FAULTS)
+    return Fault(random.uniform(2.0, 7.0), kind, random.randrange(switches), random.uniform(0.3, 12.0))
--- /dev/null
+++ b/rowanmast/trials/trial.py
@@ -0,0 +1,314 @@
+"""Runs one trial: router processes, switches and discovery behind fault proxies, callers, and the watch."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import tempfile
+import time
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from rowanmast.lab.demo import free_port
+from rowanmast.lab.town import ToyChangeLog
+from rowanmast.trials.callers import CallerCounts, Callers
+from rowanmast.trials.proxy import FaultProxy
+from rowanmast.trials.routers import RouterProcess
+from rowanmast.trials.schedule import Fault, FaultKind, Schedule
+from rowanmast.trials.switches import TrialSwitch
+from rowanmast.trials.watch import Violation, Watch
+
+FIRST_OWN_NUMBER = 100  # of the routers' own exchanges, which take no calls here
+LAG_TICK_S = 0.01
+TOLD_AFTER_RETURN_S = 6.0  # a change counts as told so long after discovery had it and could be reached
+LONGEST_WAIT_FOR_KILL_S = 3.0  # the longest deadline counts as this where it is longer
+KILL_AFTER_S = 0.7  # beyond the longest deadline, SIGKILL may come
+SETTLE_S = 10.0  # at most, for answers and releases that are owed at the end
+CROWD = 150  # calls at once
+RELOADS = 6
+RELOAD_EACH_S = 0.05
+
+
+@dataclass(slots=True)
+class Result:
+    """What a trial came to."""
+
+    seed: int
+    violations: list[Violation]
+    counts: CallerCounts
+    errors: list[str] = field(default_factory=list)  # log lines of routers at level error, and bad exits
+    lag_s: float = 0.0  # how late the trial's own loop was, at most
+    logs: dict[str, list[str]] = field(default_factory=dict)
+
+    @property
+    def passed(self) -> bool:
+        return not self.violations and not self.errors
+
+    def by_rule(self) -> dict[str, int]:
+        return dict(Counter(violation.rule.value for violation in self.violations))
+
+    def report(self) -> dict[str, Any]:
+        """A form for JSON."""
+        return {
+            "seed": self.seed,
+            "passed": self.passed,
+            "by_rule": self.by_rule(),
+            "first": [f"{one.at:.3f} {one.rule.value} {one.call}: {one.text}" for one in self.violations[:5]],
+            "errors": self.errors[:5],
+            "counts": asdict(self.counts),
+            "lag_ms": round(self.lag_s * 1000, 1),
+        }
+
+
+class Trial:
+    """One run of a schedule."""
+
+    def __init__(self, schedule: Schedule, folder: Path) -> None:
+        self.schedule = schedule
+        self.folder = folder
+        self.begun = time.monotonic()
+        self.watch = Watch()
+        self.random = Random(schedule.seed)
+        self.discovery = ToyChangeLog()
+        self.discovery_proxy = FaultProxy()
+        self.discovery_is_down = False
+        self.untold: list[str] = []  # switches whose drain was published while discovery was down
+        self.switches = [
+            TrialSwitch(
+                f"s-{number}", number, self.watch, self.clock, hold_s=schedule.hold_s, seed=schedule.seed
+            )
+            for number in range(1, schedule.switches + 1)
+        ]
+        self.routers: list[RouterProcess] = []
+        self.callers: list[Callers] = []
+        self.errors: list[str] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def clock(self) -> float:
+        return time.monotonic() - self.begun
+
+    async def run(self) -> Result:
+        try:
+            await self.start()
+            await self.play()
+            await self.settle()
+        finally:
+            await self.stop()
+        counts = CallerCounts()
+        for callers in self.callers:
+            for name, value in asdict(callers.counts).items():
+                setattr(counts, name, getattr(counts, name) + value)
+        logs = {router.name: router.lines for router in self.routers}
+        self.errors += [line for lines in logs.values() for line in lines if "level=error" in line]
+        violations = sorted(self.watch.violations, key=lambda one: one.at)
+        return Result(self.schedule.seed, violations, counts, self.errors, self.watch.late_s, logs)
+
+    # Beginning and end
+
+    async def start(self) -> None:
+        await self.discovery.start()
+        self.discovery_proxy.target = self.discovery.address
+        self.discovery_proxy.start()
+        for switch in self.switches:
+            await switch.start()
+        self.discovery.add(True, *(self.entry(switch, "ready") for switch in self.switches))
+        for index in range(self.schedule.routers):
+            listen = await free_port()
+            router = RouterProcess(f"n{index}", FIRST_OWN_NUMBER + index, listen, self.folder)
+            self.configure(router)
+            self.routers.append(router)
+            self.callers.append(self.make_callers(router))
+        await asyncio.gather(*(router.start() for router in self.routers))
+        self.begun = time.monotonic()
+
+    def make_callers(self, router: RouterProcess) -> Callers:
+        schedule = self.schedule
+        return Callers(
+            router,
+            [switch.number for switch in self.switches],
+            self.watch,
+            self.clock,
+            rate=schedule.rate,
+            wait_s=min(schedule.wait_s, schedule.deadline_s),
+            seed=schedule.seed * 101 + router.number,
+            give_up_share=schedule.give_up_share,
+        )
+
+    def configure(self, router: RouterProcess) -> None:
+        events = self.discovery.events
+        router.configure(
+            self.discovery_proxy.address, {"seq": len(events), "results": events}, self.schedule.deadline_s
+        )
+
+    def entry(self, switch: TrialSwitch, health: str, born_ms: int = 0) -> dict[str, Any]:
+        """The switch as discovery lists it."""
+        return {
+            "host": switch.name,
+            "dial": "{}:{}".format(*switch.proxy.address),
+            "site": "trial",
+            "class": "standard",
+            "block": switch.number,
+            "health": health,
+            "share": 1,
+            "born_ms": born_ms,
+        }
+
+    async def play(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self.measure_lag()))
+        dialling = [loop.create_task(callers.dial_on()) for callers in self.callers]
+        faults = [loop.create_task(self.inject(fault)) for fault in self.schedule.faults]
+        self.tasks += [*dialling, *faults]
+        await asyncio.sleep(self.schedule.seconds)
+        for callers, task in zip(self.callers, dialling, strict=True):
+            callers.stop_dialling()
+            task.cancel()
+
+    async def settle(self) -> None:
+        """Waits for what is owed, with the faults that still last."""
+        end = self.clock() + SETTLE_S
+        while self.watch.owed(self.clock()) and self.clock() < end:
+            await asyncio.sleep(0.05)
+        self.watch.finish(self.clock())
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for outcome in await asyncio.gather(*self.tasks, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                self.errors.append(f"trial: {outcome!r}")
+        for router in self.routers:
+            router.signal(signal.SIGTERM)
+        for router in self.routers:
+            if router.is_running and await router.ended(self.kill_after_s()) is None:
+                router.signal(signal.SIGKILL)
+            await router.kill()
+        for callers in self.callers:
+            callers.close()
+        for switch in self.switches:
+            switch.stop()
+        self.discovery_proxy.close()
+        self.discovery.stop()
+
+    async def measure_lag(self) -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(LAG_TICK_S)
+            self.watch.late_s = max(self.watch.late_s, time.monotonic() - before - LAG_TICK_S)
+
+    def kill_after_s(self) -> float:
+        """The earliest time after SIGTERM at which SIGKILL may come."""
+        return min(self.schedule.deadline_s, LONGEST_WAIT_FOR_KILL_S) + KILL_AFTER_S
+
+    # Faults
+
+    async def inject(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        kind = fault.kind
+        if kind.value.startswith("switch"):
+            await self.inject_at_switch(fault, self.switches[fault.target])
+        elif kind.value.startswith("router"):
+            await self.inject_at_router(fault, fault.target)
+        elif kind is FaultKind.CALLERS_CROWD:
+            for _ in range(CROWD):
+                self.callers[fault.target].dial_any()
+        else:
+            await self.inject_at_discovery(fault)
+
+    async def inject_at_switch(self, fault: Fault, switch: TrialSwitch) -> None:
+        match fault.kind:
+            case FaultKind.SWITCH_VANISHES:
+                switch.vanish()
+                await asyncio.sleep(fault.for_s)
+                await switch.restart(keep_old_silent=True)
+            case FaultKind.SWITCH_CRASHES:
+                switch.crash()
+                await asyncio.sleep(fault.for_s)
+                await switch.restart(keep_old_silent=False)
+            case FaultKind.SWITCH_HANGS:
+                switch.hang()
+                await asyncio.sleep(fault.for_s)
+                switch.recover()
+            case FaultKind.SWITCH_CUT_OFF:
+                switch.proxy.silence()
+                await asyncio.sleep(fault.for_s)
+                switch.proxy.heal()
+                switch.send_releases()
+            case FaultKind.SWITCH_RESETS:
+                switch.proxy.reset()
+            case FaultKind.SWITCH_FORGETS:
+                switch.proxy.abandon()
+            case FaultKind.SWITCH_DRAINS:
+                self.publish(switch, "draining")
+                await asyncio.sleep(fault.for_s)
+                self.publish(switch, "gone")
+            case FaultKind.SWITCH_REMOVED:
+                self.publish(switch, "gone")
+
+    def publish(self, switch: TrialSwitch, health: str) -> None:
+        """Puts a drain or a removal into the change log, whether it can be reached or not."""
+        self.discovery.add(False, self.entry(switch, health))
+        if self.discovery_is_down:
+            self.untold.append(switch.name)
+        else:
+            self.watch.bar(switch.name, self.clock())
+
+    async def inject_at_discovery(self, fault: Fault) -> None:
+        if self.discovery_is_down:
+            return
+        self.discovery_is_down = True
+        if fault.kind is FaultKind.DISCOVERY_REFUSES:
+            self.discovery_proxy.refuse()
+            self.discovery_proxy.reset()
+        else:
+            self.discovery_proxy.silence()
+        await asyncio.sleep(fault.for_s)
+        self.discovery_is_down = False
+        if fault.kind is FaultKind.DISCOVERY_REFUSES:
+            self.discovery_proxy.start()
+        else:
+            self.discovery_proxy.heal()
+        for name in self.untold:
+            self.watch.bar(name, self.clock() + TOLD_AFTER_RETURN_S)
+        self.untold.clear()
+
+    async def inject_at_router(self, fault: Fault, index: int) -> None:
+        router = self.routers[index]
+        if not router.is_running:
+            return
+        if fault.kind is FaultKind.ROUTER_RELOADS:
+            for _ in range(RELOADS):
+                self.configure(router)
+                router.signal(signal.SIGHUP)
+                await asyncio.sleep(RELOAD_EACH_S)
+            return
+        if fault.kind is FaultKind.ROUTER_STOPS:
+            router.signal(signal.SIGTERM)
+            code = await router.ended(self.kill_after_s())
+            if code:
+                self.errors.append(f"{router.name} ended with {code}")
+        else:
+            router.signal(signal.SIGKILL)
+        await self.restart(router, owes=fault.kind is FaultKind.ROUTER_STOPS)
+
+    async def restart(self, router: RouterProcess, owes: bool) -> None:
+        """A new process of the router; `owes` if the one before had the time to answer everything."""
+        now = self.clock()
+        await router.kill()
+        self.watch.router_ended(now, router.name, owes)
+        self.configure(router)
+        await router.start()
+
+
+async def run_trial(schedule: Schedule) -> Result:
+    """Runs one trial in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await Trial(schedule, Path(folder)).run()
+
+
+def write_report(results: list[Result], path: Path) -> None:
+    path.write_text(json.dumps([result.report() for result in results], indent=1) + "\n")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any
 
+import known_red
 import pytest
 
 from rowanmast.control import CallAgent
@@ -151,6 +152,14 @@
     return [action.exchange for action in actions if isinstance(action, SetUp)]
 
 
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    known_red.mark(items)
+
+
+def pytest_terminal_summary(terminalreporter: Any) -> None:
+    known_red.report(terminalreporter)
+
+
 def pytest_generate_tests(metafunc: Any) -> None:
     from modes import MODES
 
