--- a/rowanmast/app/router.py
+++ b/rowanmast/app/router.py
@@ -17,17 +17,18 @@
 from rowanmast.control import CallAgent
 from rowanmast.core.coldshare import ColdShare
 from rowanmast.core.ledger import Ledger, with_margin
-from rowanmast.core.ports import Front, Input, SwitchLink
+from rowanmast.core.ports import EndOwed, Front, Input, SwitchLink
 from rowanmast.net.changelog import Change, ChangeLog, Reader
 from rowanmast.net.peers import PeerLink
 from rowanmast.net.turn import Turn
 
 RELEASE_MARGIN_US = 50_000
 ACCEPT_S = 0.7  # after a stop is asked for, callers still come for this long
-KILL_AFTER_S = 3.0  # beyond that SIGKILL may come, or as much later as the longest deadline is longer
-KILL_MARGIN_S = 0.4  # before it may, we leave the calls that still stand
+LONGEST_DEADLINE_S = 3.0  # SIGKILL may come this long after that, or the longest deadline if it is shorter
+VERIFY_MARGIN_S = 0.4  # before SIGKILL may come, switches are asked for a sign of life,
+ANSWER_MARGIN_S = 0.25  # what is owed is answered and what can't stand without us is ended,
+EXIT_MARGIN_S = 0.1  # and the process ends
 SETTLE_S = 0.05  # time for the last bytes to leave
-VERIFY_S = 0.15  # within which a switch answers a probe, or calls that stand there are ended before we go
 POLL_S = 0.02
 TOTALS_S = 10.0  # between two lines of totals in the log
 
@@ -154,30 +155,37 @@
     async def shut_down(self) -> None:
         """Takes calls a little longer, answers them all, and waits for those that stand.
 
-        What still stands then goes on: the next run at this address hears of its end and tells the caller.
+        All is done before SIGKILL may come (PROTOCOL, "Figures"). What still stands then goes on: the next
+        run at this address hears of its end and tells the caller.
         """
         log.info("stopping", extra={"owed": self.ledger.owed(), "calls": len(self.ledger.records)})
         begun = self.loop.time()
         self.closing = True
         for part in self.parts:
             part.wind_down()
-        await asyncio.sleep(ACCEPT_S)
+        kill_at = begun + self.kill_after_s()
+        await self.until(lambda: False, min(begun + ACCEPT_S, kill_at - VERIFY_MARGIN_S))
         for part in self.parts:
             part.refuse_all()
-        longest = max(kind.deadline_ns for kind in self.config.settings.classes) / 1e9
-        end = begun + ACCEPT_S + max(longest, KILL_AFTER_S) - KILL_MARGIN_S
-        await self.until(lambda: not self.ledger.records, end - VERIFY_S)
+        await self.until(lambda: not self.ledger.records, kill_at - VERIFY_MARGIN_S)
         if self.ledger.records:
             self.switches.verify()
-            await asyncio.sleep(VERIFY_S)
-        await self.finish(end + KILL_MARGIN_S / 2)
+            await self.until(lambda: not self.ledger.records, kill_at - ANSWER_MARGIN_S)
+            self.post(EndOwed())
+            await asyncio.sleep(0)  # the turn that answers them
+        await self.finish(kill_at - EXIT_MARGIN_S)
+
+    def kill_after_s(self) -> float:
+        """How long after SIGTERM SIGKILL comes at the earliest, in seconds."""
+        longest = max(kind.deadline_ns for kind in self.config.settings.classes) / 1e9
+        return ACCEPT_S + min(longest, LONGEST_DEADLINE_S)
 
     async def finish(self, end: float) -> None:
         """Ends what can't stand without us, and closes everything."""
         self.ledger.release_bound()
         standing = len(self.ledger.records)
         self.switches.close()
-        await self.until(lambda: all(part.told_all() for part in self.parts), end)
+        await self.until(lambda: all(part.told_all() for part in self.parts), end - SETTLE_S)
         for part in self.parts:
             part.close()
         await asyncio.sleep(SETTLE_S)
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -25,6 +25,7 @@
     CallOver,
     Cancelled,
     Ending,
+    EndOwed,
     Failure,
     Front,
     Input,
@@ -43,6 +44,7 @@
 PAST_US = 10_000_000  # a switch's release may cross ours, or come twice, within this time
 LAG_US = 25_000  # a turn that took longer to let its bytes leave moves the waits that begin with them: the
 # module's margin (50 ms) bears what is shorter
+LAST_DELAY_US = 1_000_000  # the retry-after of calls that are refused because the router ends
 UNPROVEN = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 Item = TypeVar("Item")
@@ -188,6 +190,8 @@
                 self.on_call_over(item)
             case SwitchDown():
                 self.cut_all(item.exchange, Ending.SWITCH_DOWN)
+            case EndOwed():
+                self.end_owed()
             case api.ExchangeList():
                 self.on_list(item)
             case api.Reported():
@@ -251,6 +255,16 @@
                 self.finish(record, Failure.FAULT)
             return None
 
+    def end_owed(self) -> None:
+        """Refuses every call that has no answer, or fails it if trying again could do harm."""
+        for record in list(self.records.values()):
+            if record.answered:
+                continue
+            kind = self.settings.classes[self.classes[record.offer.klass]]
+            is_harmless = kind.effect is api.Effect.SAFE or record.sends == 0
+            self.events.append(api.HungUp(record.offer.call))
+            self.finish(record, LAST_DELAY_US if is_harmless else Failure.GIVEN_UP)
+
     # What fronts say
 
     def on_offer(self, offer: Offer) -> None:
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -184,6 +184,11 @@
     exchange: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndOwed:
+    """The router is about to end: every call without an answer is answered now."""
+
+
 Input = (
     Offer
     | Cancelled
@@ -192,6 +197,7 @@
     | AttemptOver
     | CallOver
     | SwitchDown
+    | EndOwed
     | api.ExchangeList
     | api.Reported
 )
--- a/rowanmast/trials/schedule.py
+++ b/rowanmast/trials/schedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from random import Random
 
@@ -83,6 +83,24 @@
     ),
 )
 
+# Switches hang through a whole shutdown, with a longest deadline far beyond SIGKILL, then with a short one.
+HUNG_SHUTDOWN = Schedule(
+    seed=16,
+    routers=1,
+    switches=2,
+    seconds=6.5,
+    rate=60.0,
+    wait_s=8.0,
+    deadline_s=9.0,
+    hold_s=1.0,
+    faults=(
+        Fault(1.5, FaultKind.SWITCH_HANGS, target=0, for_s=20.0),
+        Fault(1.6, FaultKind.SWITCH_VANISHES, target=1, for_s=20.0),
+        Fault(2.0, FaultKind.ROUTER_STOPS),
+    ),
+)
+HUNG_SHORT_SHUTDOWN = replace(HUNG_SHUTDOWN, wait_s=0.4, deadline_s=0.4)
+
 
 def draw(seed: int) -> Schedule:
     """A trial with two to five faults that overlap, most of them at switches."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -20,6 +20,7 @@
     CallOver,
     Cancelled,
     Ending,
+    EndOwed,
     Failure,
     Input,
     Released,
@@ -215,6 +216,19 @@
     assert model.links["x1"].said == [("call_off", "c1")]
 
 
+def test_a_router_that_ends_answers_what_it_owes_and_calls_off_what_is_out() -> None:
+    for klass, answer in (("plain", "refuse"), ("unsafe", "fail")):
+        model = Model()
+        model.ledger.classes = {"plain": 0, "unsafe": 2}
+        model.watch.offered("c1", 3.0)
+        model.turn(replace(offer(model.front, "c1"), klass=klass))
+        assert "c1" in model.links["x1"].attempts
+        model.turn(EndOwed())
+        assert [said[:2] for said in model.front.said] == [(answer, "c1")]
+        assert ("call_off", "c1") in model.links["x1"].said
+        assert not model.ledger.records
+
+
 def test_the_end_of_an_unknown_call_is_passed_on_only_by_the_word_of_a_switch() -> None:
     model = stood()
     model.turn(CallOver("x1", "e1", api.Outcome.CUT, why=Ending.SWITCH_LOST))
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
-from rowanmast.trials.schedule import INCIDENT_86EF61, Schedule
+import pytest
+
+from rowanmast.trials.schedule import HUNG_SHORT_SHUTDOWN, HUNG_SHUTDOWN, INCIDENT_86EF61, Schedule
 from rowanmast.trials.trial import Result, run_trial
 
 
@@ -18,3 +20,11 @@
     # Incident 86ef61: they were told when discovery was back, or never.
     result = play(INCIDENT_86EF61)
     assert result.passed, result.report()
+
+
+@pytest.mark.parametrize("schedule", [HUNG_SHUTDOWN, HUNG_SHORT_SHUTDOWN], ids=["long", "short"])
+def test_all_is_answered_before_sigkill_while_switches_hang_through_a_shutdown(schedule: Schedule) -> None:
+    result = play(schedule)
+    assert result.passed, result.report()
+    stopped = [line for line in result.logs["n0"] if "event=stopped" in line]
+    assert len(stopped) == 2 and "owed=0" in stopped[0], "it ended by itself, before the kill"
