--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -19,8 +19,11 @@
 MAX_SET_UPS = 200  # open on one connection: a caller that floods us is refused before it costs others
 BYE_KEPT_US = 10_000_000  # a BYE that nobody answers is forgotten after this long
 BYE_AGAIN_US = 250_000  # one that is not answered goes out on another connection, at doubling gaps
-FIRST_US = 2_500_000  # a connection that has brought nothing whole by then is closed
-IDLE_US = 10_000_000  # one without a set-up open is closed this long after its last message; callers take 4 s
+FIRST_US = 2_500_000  # a connection on which nothing at all has come by then is closed
+IDLE_US = 10_000_000  # one without a set-up open is closed this long after its last byte; callers take 4 s
+QUIET_US = (
+    250_000  # the same while the router ends: longer than a set-up takes that crosses the close (50 ms)
+)
 SWEEP_S = 0.25
 LIMIT_EACH_US = 1_000_000  # a crowd at the limit is logged once in this time, not for each that comes
 FAILURES = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500, Failure.UNFIT: 400}
@@ -65,6 +68,8 @@
         if connection is not None:
             self.standing[call] = connection
             connection.standing.add(call)
+            if connection.half_closed:
+                connection.answered_half_closed.add(call)
         self.respond(call, 200, (("Contact", f"<sip:{call}@net>"),), text.encode("utf-8", "surrogatepass"))
 
     def refuse(self, call: str, stay_away_us: int) -> None:
@@ -84,6 +89,7 @@
         connection = self.standing.pop(call, None)
         if connection is not None:
             connection.standing.discard(call)
+            connection.answered_half_closed.discard(call)
         return connection
 
     def send_bye(self, call: str, bye: Bye, connection: Connection | None = None) -> None:
@@ -91,7 +97,7 @@
 
         One that minded none may belong to nobody who knows of calls: it serves only if there is no other.
         """
-        if connection is None:
+        if connection is None or connection.half_closed:  # one that is half closed can't acknowledge it
             others = (*reversed(self.known), *reversed(self.strangers))
             connection = next((other for other in others if other is not bye.sent_on), bye.sent_on)
         if connection is not None:
@@ -109,14 +115,23 @@
                 del self.byes[call]  # an answer to a BYE is not owed
             elif now >= bye.again_at:
                 self.send_bye(call, bye)
+        awaited = {bye.sent_on for bye in self.byes.values()}
         for connection in [*self.strangers, *self.known]:
-            limit = FIRST_US if connection.heard_at is None else IDLE_US
-            idle = not connection.set_ups and not connection.standing
-            if idle and now - (connection.heard_at or connection.begun) > limit:
+            if self.refusing and connection in awaited and not connection.half_closed:
+                continue  # the answer to a BYE may still come
+            if connection.is_idle() and now - connection.read_at > self.patience(connection):
                 self.dismiss(connection)
         if self.byes or self.strangers or self.known:
             self.wake()
 
+    def patience(self, connection: Connection) -> int:
+        """How long a connection with nothing open on it may be silent, in microseconds."""
+        if connection.half_closed:
+            return 0
+        if self.refusing and connection is not next(reversed(self.known), None):
+            return QUIET_US  # the last that acknowledged something stays, for releases
+        return IDLE_US if connection.has_read else FIRST_US
+
     def wake(self) -> None:
         if self.timer is None:
             self.timer = asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
@@ -132,7 +147,7 @@
     # Connections
 
     def connected(self, connection: Connection) -> None:
-        connection.begun = self.clock()
+        connection.begun = connection.read_at = self.clock()
         if len(self.strangers) + len(self.known) >= self.most:
             if connection.begun - self.limit_told >= LIMIT_EACH_US:
                 self.limit_told = connection.begun
@@ -163,13 +178,15 @@
         self.resend_byes(connection)
 
     def lost(self, connection: Connection) -> None:
-        """Gives up the set-ups open on it."""
+        """Gives up the set-ups open on it, and calls whose answer came too late for its other side."""
         for call in connection.set_ups:
             del self.open[call]
             self.inbox.post(Cancelled(call))
         connection.set_ups.clear()
         for call in connection.standing:
             del self.standing[call]
+            if call in connection.answered_half_closed:
+                self.inbox.post(Released(call, NORMAL_CLEARING))
         connection.standing.clear()
         self.forget(connection)
 
@@ -262,19 +279,31 @@
         self.parser = sip.Parser()
         self.set_ups: set[str] = set()
         self.standing: set[str] = set()
+        self.answered_half_closed: set[str] = set()  # calls that stand, answered after its other side closed
         self.begun = 0
-        self.heard_at: int | None = None  # when the last whole message came
+        self.read_at = 0  # when the last bytes came, or it was opened
+        self.has_read = False
+        self.half_closed = False  # its other side sends no more, but may still read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.callers.connected(self)
 
     def data_received(self, data: bytes) -> None:
+        self.read_at = self.callers.clock()
+        self.has_read = True
         for message in self.readable(self.parser.feed(data)):
             if self.closing:
                 break
-            self.heard_at = self.callers.clock()
             self.callers.received(self, message)
 
+    def eof_received(self) -> bool:
+        """True keeps it open for the answers that are owed; the sweep closes it after them."""
+        self.half_closed = True
+        return not self.is_idle()
+
+    def is_idle(self) -> bool:
+        return not self.set_ups and not self.standing
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.callers.lost(self)
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -365,7 +365,7 @@
             self.log_closed(connection, why)
             self.end_attempts(connection)
             self.connect_again(connection)
-        if self.removed is not None and not self.connections and not self.retired:
+        if self.removed is not None and not (self.closed or self.connections or self.retired):
             self.end_calls(self.liveness.end_all(), Ending.SWITCH_REMOVED)
             self.tidy()
 
--- a/rowanmast/trials/proxy.py
+++ b/rowanmast/trials/proxy.py
@@ -10,15 +10,26 @@
 import asyncio
 import socket
 import struct
-from typing import cast
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol, cast
 
 Address = tuple[str, int]
 
 BACKLOG = 128
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
+TIMER_RESOLUTION_S = 0.001  # timers may fire this much early
 FILLERS = 2  # connections that fill the accept queue of a socket with a backlog of 0
 
 
+class Observer(Protocol):
+    """Sees what one client sends at the moment at which it leaves the client, before any fault."""
+
+    def sent(self, data: bytes) -> None: ...
+
+    def closed(self) -> None: ...
+
+
 class FaultProxy:
     """Listens on loopback and forwards to `target`. The states are forwarding, silent and refusing."""
 
@@ -30,6 +41,10 @@
         self.pairs: set[Pair] = set()
         self.fillers: list[socket.socket] = []
         self.is_silent = False
+        self.observe: Callable[[], Observer] | None = None  # makes one for each connection of a client
+        self.delay_s = 0.0  # of everything, in each direction
+        self.piece_bytes = 0  # if not 0, bytes are forwarded in pieces of this size
+        self.piece_gap_s = 0.0
 
     def start(self) -> None:
         """Begins to accept, at the address that it had before if it had one. Raises OSError."""
@@ -124,6 +139,7 @@
         self.target = End(self)
         self.client.other, self.target.other = self.target, self.client
         self.abandoned = False
+        self.observer = proxy.observe() if proxy.observe is not None else None
         self.connecting: asyncio.Task[None] | None = None
 
     def connected(self, end: End) -> None:
@@ -163,6 +179,8 @@
 
     def ended(self, end: End) -> None:
         """The other end closes too, in order, unless nothing may get through."""
+        if end is self.client and self.observer is not None:
+            self.observer.closed()
         if self.proxy.is_silent or self.abandoned:
             return
         self.proxy.pairs.discard(self)
@@ -177,6 +195,8 @@
         self.pair = pair
         self.other: End = self
         self.transport: asyncio.Transport | None = None
+        self.forward_at = 0.0  # when what came last is forwarded, on the loop's clock
+        self.waiting: deque[tuple[float, bytes]] = deque()  # delayed: when each is forwarded, in order
         self.early: list[bytes] = []  # what came before the other connection was up
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -187,6 +207,34 @@
         self.other.early.clear()
 
     def data_received(self, data: bytes) -> None:
+        proxy = self.pair.proxy
+        if self is self.pair.client and self.pair.observer is not None:
+            self.pair.observer.sent(data)
+        size = proxy.piece_bytes or len(data)
+        wait_s = proxy.delay_s
+        for start in range(0, len(data), size):
+            self.forward_later(data[start : start + size], wait_s)
+            wait_s += proxy.piece_gap_s
+
+    def forward_later(self, data: bytes, wait_s: float) -> None:
+        """Forwards in order: nothing overtakes what came before it."""
+        now = asyncio.get_running_loop().time()
+        self.forward_at = max(self.forward_at, now + wait_s)
+        if self.forward_at <= now and not self.waiting:
+            self.forward(data)
+            return
+        self.waiting.append((self.forward_at, data))
+        if len(self.waiting) == 1:
+            asyncio.get_running_loop().call_at(self.forward_at, self.forward_due)
+
+    def forward_due(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.waiting and self.waiting[0][0] <= loop.time() + TIMER_RESOLUTION_S:
+            self.forward(self.waiting.popleft()[1])
+        if self.waiting:
+            loop.call_at(self.waiting[0][0], self.forward_due)
+
+    def forward(self, data: bytes) -> None:
         if self.other.transport is None:
             self.early.append(data)
         elif not self.other.transport.is_closing():
--- a/rowanmast/trials/routers.py
+++ b/rowanmast/trials/routers.py
@@ -30,6 +30,7 @@
         self.ready = asyncio.Event()
         self.starts = 0
         self.is_killed = False  # SIGKILL was sent: it owes nothing any more
+        self.is_restarting = False  # a fault that ends it is being played
 
     def configure(self, changelog: tuple[str, int], known: dict[str, Any], deadline_s: float) -> None:
         """Writes the configuration as the platform does."""
--- a/rowanmast/trials/switches.py
+++ b/rowanmast/trials/switches.py
@@ -59,6 +59,7 @@
         self.circuits = circuits
         self.random = Random(seed * 1009 + number)
         self.proxy = FaultProxy()
+        self.proxy.observe = lambda: RouterObserver(self)
         self.calls: dict[str, SwitchCall] = {}
         self.unsent: list[str] = []  # releases that found no connection
         self.unheard: dict[str, SwitchSide] = {}  # releases that the router has not acknowledged
@@ -104,9 +105,9 @@
             if call.timer is not None:
                 call.timer.cancel()
             if call.stands:
-                self.watch.ended(now, name, release_sent)
+                self.watch.ended(now, self.name, name, release_sent)
             else:
-                self.watch.attempt_ended(now, name, proven=False)
+                self.watch.attempt_ended(now, self.name, name, proven=False)
         for name in (*self.unsent, *self.unheard):
             self.watch.release_failed(name)
         self.unheard.clear()
@@ -149,7 +150,7 @@
     def opened(self, side: SwitchSide, line: jsonlines.Line) -> None:
         self.watch.set_up_arrived(self.clock(), self.name, line.sid)
         if len(self.calls) >= self.circuits:
-            self.watch.attempt_ended(self.clock(), line.sid, proven=True)
+            self.watch.attempt_ended(self.clock(), self.name, line.sid, proven=True)
             side.write("close", line.sid, {"note": "all_trunks_busy"}, code=NO_CIRCUIT)
             return
         self.taken += 1
@@ -177,7 +178,8 @@
             return
         side = call.side if call.side in self.sides else next(iter(self.sides), None)
         sent = side is not None and self.reachable()
-        self.watch.ended(self.clock(), name, sent and not cast(SwitchSide, side).abandoned())
+        told = sent and not cast(SwitchSide, side).abandoned()
+        self.watch.ended(self.clock(), self.name, name, told)
         if sent and side is not None:
             side.release(name)
         else:
@@ -187,7 +189,7 @@
         if not self.sides or not self.reachable():
             return
         for name in self.unsent:
-            self.watch.ended(self.clock(), name, release_sent=True)
+            self.watch.ended(self.clock(), self.name, name, release_sent=True)
             self.sides[-1].release(name)
         self.unsent.clear()
 
@@ -199,9 +201,9 @@
         if call.timer is not None:
             call.timer.cancel()
         if call.stands:
-            self.watch.taken_back(self.clock(), name)
+            self.watch.taken_back(self.clock(), self.name, name)
         else:
-            self.watch.attempt_ended(self.clock(), name, proven=False)
+            self.watch.attempt_ended(self.clock(), self.name, name, proven=False)
 
     def side_lost(self, side: SwitchSide) -> None:
         """Set-ups of a connection that closes are given up; calls that stand belong to none."""
@@ -221,6 +223,30 @@
         return f"x0:{self.circuits - len(self.calls)};x1:{self.circuits};queue:0"
 
 
+class RouterObserver:
+    """Tells the watch when a router gives up a set-up, however late the switch hears of it."""
+
+    def __init__(self, switch: TrialSwitch) -> None:
+        self.switch = switch
+        self.parser = jsonlines.Parser()
+        self.set_ups: set[str] = set()
+
+    def sent(self, data: bytes) -> None:
+        for line in self.parser.feed(data):
+            if line.msg == "open":
+                self.set_ups.add(line.sid)
+            elif line.msg == "close":
+                self.give_up(line.sid)
+
+    def closed(self) -> None:
+        for call in list(self.set_ups):
+            self.give_up(call)
+
+    def give_up(self, call: str) -> None:
+        self.set_ups.discard(call)
+        self.switch.watch.given_up(self.switch.clock(), self.switch.name, call)
+
+
 class SwitchSide(asyncio.Protocol):
     """One connection to the switch, which comes from its proxy."""
 
--- a/rowanmast/trials/trial.py
+++ b/rowanmast/trials/trial.py
@@ -30,6 +30,9 @@
 SETTLE_S = 10.0  # at most, for answers and releases that are owed at the end
 CROWD = 150  # calls at once
 RELOADS = 6
+SWITCH_PIECE_BYTES, SWITCH_PIECE_GAP_S = 40, 0.01
+DISCOVERY_PIECE_BYTES, DISCOVERY_PIECE_GAP_S = 20, 0.1
+DISCOVERY_LATE_S = 2.5
 RELOAD_EACH_S = 0.05
 
 
@@ -81,6 +84,7 @@
         self.discovery = ToyChangeLog()
         self.discovery_proxy = FaultProxy()
         self.discovery_is_down = False
+        self.discovery_is_slow = False
         self.untold: list[str] = []  # switches whose drain was published while discovery was down
         self.switches = [
             TrialSwitch(
@@ -153,6 +157,7 @@
             wait_s=min(schedule.wait_s, schedule.deadline_s),
             seed=schedule.seed * 101 + router.number,
             give_up_share=schedule.give_up_share,
+            odd_share=schedule.odd_share,
         )
 
     def configure(self, router: RouterProcess) -> None:
@@ -259,6 +264,14 @@
                 switch.proxy.reset()
             case FaultKind.SWITCH_FORGETS:
                 switch.proxy.abandon()
+            case FaultKind.SWITCH_SLOW:
+                switch.proxy.delay_s = self.random.uniform(0.05, 0.4)
+                await asyncio.sleep(fault.for_s)
+                switch.proxy.delay_s = 0.0
+            case FaultKind.SWITCH_IN_PIECES:
+                switch.proxy.piece_bytes, switch.proxy.piece_gap_s = SWITCH_PIECE_BYTES, SWITCH_PIECE_GAP_S
+                await asyncio.sleep(fault.for_s)
+                switch.proxy.piece_bytes = 0
             case FaultKind.SWITCH_DRAINS:
                 self.publish(switch, "draining")
                 await asyncio.sleep(fault.for_s)
@@ -272,11 +285,15 @@
         if self.discovery_is_down:
             self.untold.append(switch.name)
         else:
-            self.watch.bar(switch.name, self.clock())
+            told_at = self.clock() + (TOLD_AFTER_RETURN_S if self.discovery_is_slow else 0.0)
+            self.watch.bar(switch.name, told_at)
 
     async def inject_at_discovery(self, fault: Fault) -> None:
         if self.discovery_is_down:
             return
+        if fault.kind in (FaultKind.DISCOVERY_SLOW, FaultKind.DISCOVERY_IN_PIECES):
+            await self.slow_discovery(fault)
+            return
         self.discovery_is_down = True
         if fault.kind is FaultKind.DISCOVERY_REFUSES:
             self.discovery_proxy.refuse()
@@ -293,6 +310,18 @@
             self.watch.bar(name, self.clock() + TOLD_AFTER_RETURN_S)
         self.untold.clear()
 
+    async def slow_discovery(self, fault: Fault) -> None:
+        """Changes count as told 6 s after they are published while it is so."""
+        proxy = self.discovery_proxy
+        self.discovery_is_slow = True
+        if fault.kind is FaultKind.DISCOVERY_SLOW:
+            proxy.delay_s = DISCOVERY_LATE_S / 2
+        else:
+            proxy.piece_bytes, proxy.piece_gap_s = DISCOVERY_PIECE_BYTES, DISCOVERY_PIECE_GAP_S
+        await asyncio.sleep(fault.for_s)
+        proxy.delay_s, proxy.piece_bytes = 0.0, 0
+        self.discovery_is_slow = False
+
     async def inject_at_router(self, fault: Fault, index: int) -> None:
         router = self.routers[index]
         if not router.is_running:
@@ -303,6 +332,10 @@
                 router.signal(signal.SIGHUP)
                 await asyncio.sleep(RELOAD_EACH_S)
             return
+        if router.is_restarting:  # one signal after another
+            router.signal(signal.SIGTERM)
+            return
+        router.is_restarting = True
         if fault.kind is FaultKind.ROUTER_STOPS:
             router.signal(signal.SIGTERM)
             code = await router.ended(self.kill_after_s())
@@ -319,6 +352,7 @@
         self.watch.router_ended(now, router.name, owes)
         self.configure(router)
         await router.start()
+        router.is_restarting = False
 
 
 async def run_trial(schedule: Schedule) -> Result:
