--- a/rowanmast/trials/switches.py
+++ b/rowanmast/trials/switches.py
@@ -68,6 +68,7 @@
         self.unread: list[tuple[SwitchSide, bytes]] = []  # what came while it hung
         self.server: asyncio.Server | None = None
         self.taken = 0
+        self.arrived: set[str] = set()  # calls whose set-up has reached the process
 
     async def start(self) -> None:
         """Starts the process, and the proxy in front of it. Raises OSError."""
@@ -148,6 +149,7 @@
         return self.condition is Condition.WELL and not self.proxy.is_silent
 
     def opened(self, side: SwitchSide, line: jsonlines.Line) -> None:
+        self.arrived.add(line.sid)
         self.watch.set_up_arrived(self.clock(), self.name, line.sid)
         if len(self.calls) >= self.circuits:
             self.watch.attempt_ended(self.clock(), self.name, line.sid, proven=True)
@@ -243,8 +245,10 @@
             self.give_up(call)
 
     def give_up(self, call: str) -> None:
+        was_sent = call in self.set_ups
         self.set_ups.discard(call)
-        self.switch.watch.given_up(self.switch.clock(), self.switch.name, call)
+        arrived = not was_sent or call in self.switch.arrived
+        self.switch.watch.given_up(self.switch.clock(), self.switch.name, call, arrived)
 
 
 class SwitchSide(asyncio.Protocol):
