Probe one connection of a quiet process first, and less often; ids of probes in the form of calls'

A link probed every connection that carried calls every 2 s. Change: one connection is asked once its process was silent for 3 s, the others if it does not answer; a connection on its own after 4.5 s. A check never comes sooner than 10 ms after the last: the first form of this change could ask for a check at once for ever (found by the model test, which did not end). Measured: test_liveness, test_peers and test_docs pass.

--- a/rowanmast/liveness/machine.py
+++ b/rowanmast/liveness/machine.py
@@ -16,12 +16,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-HEARTBEAT_US = 2_000_000  # silence after which a connection that carries calls is probed
+HEARTBEAT_US = 3_000_000  # silence of a process with calls after which one of its connections is probed
+CONNECTION_HEARTBEAT_US = 4_500_000  # silence of a connection that carries calls after which it is probed
 ANSWER_US = 1_000_000  # a connection that has not answered a probe by then is unresponsive
 LEASE_US = (
     7_000_000  # since the last word of an incarnation; leaves 1 s of the protocol's 8 s to tell callers
 )
-REMOVED_HEARTBEAT_US = 500_000  # the same as above, once discovery has removed the switch: silence is
+REMOVED_HEARTBEAT_US = 500_000  # the same as these, once discovery has removed the switch: silence is
 REMOVED_LEASE_US = 2_500_000  # believed sooner,
 REMOVED_ANSWER_US = 1_000_000  # but it has this long to answer after the removal
 DETECTION_US = (
@@ -30,6 +31,7 @@
 LATER_US = 1_000_000  # what is heard so long after a connection came up was sent after it came up
 STALL_US = 500_000  # a check that comes later than this was held up: what has arrived is read first,
 STALL_RETRY_US = 250_000  # and the check is made after this
+AGAIN_US = 10_000  # between two checks at least
 CHECK_US = 1_000_000  # between two checks at most: what happens in between may make an earlier one due
 NEVER_US = 1 << 62
 
@@ -199,7 +201,7 @@
                 orders.append(LeaseExpired(self.expire(incarnation)))
             elif self.may_probe:
                 orders += self.probe(now, incarnation)
-        self.plan(now, STALL_RETRY_US if stalled else 0)
+        self.plan(now, STALL_RETRY_US if stalled else AGAIN_US)
         return orders
 
     def verify(self, now: int) -> list[Order]:
@@ -215,22 +217,24 @@
     def plan(self, now: int, at_least: int) -> None:
         """Sets `due`, no sooner than `at_least` from now."""
         moments = [self.next_moment(one) for one in self.incarnations if one.calls]
-        latest = now + min(CHECK_US, self.heartbeat())
+        latest = now + self.heartbeat(CHECK_US)
         self.due = max(min(*moments, latest), now + at_least) if moments else None
 
-    def heartbeat(self) -> int:
-        return HEARTBEAT_US if self.removed_at is None else REMOVED_HEARTBEAT_US
+    def heartbeat(self, regular: int) -> int:
+        """An interval of probes, which is shorter for a removed switch."""
+        return regular if self.removed_at is None else REMOVED_HEARTBEAT_US
 
     def next_moment(self, incarnation: Incarnation) -> int:
         moment = self.expires_at(incarnation)
-        if self.may_probe:
-            for connection in self.carrying_of(incarnation):
-                state = self.connections[connection]
-                if state.probed_at is None:
-                    moment = min(moment, state.heard_at + self.heartbeat())
-                else:
-                    moment = min(moment, state.probed_at + ANSWER_US)
-        return moment
+        if not self.may_probe or not incarnation.connections:
+            return moment
+        states = [self.connections[connection] for connection in self.carrying_of(incarnation)]
+        answers = [state.probed_at + ANSWER_US for state in states if state.probed_at is not None]
+        if not answers:
+            moment = min(moment, incarnation.heard_at + self.heartbeat(HEARTBEAT_US))
+        silences = [state.heard_at for state in states if state.probed_at is None]
+        probes = [heard_at + self.heartbeat(CONNECTION_HEARTBEAT_US) for heard_at in silences]
+        return min(moment, *answers, *probes)
 
     def expires_at(self, incarnation: Incarnation) -> int:
         if incarnation.connections and not self.may_probe:
@@ -251,16 +255,23 @@
         carrying = incarnation.carried.keys()
         return carrying if carrying <= incarnation.connections else incarnation.connections
 
-    def probe(self, now: int, incarnation: Incarnation) -> Iterable[Order]:
-        for connection in list(self.carrying_of(incarnation)):
-            state = self.connections[connection]
-            if state.probed_at is not None:
-                if now >= state.probed_at + ANSWER_US:
-                    state.probed_at = now  # in case it has to stay: it is asked again
-                    yield Replace(connection)
-            elif now >= state.heard_at + self.heartbeat():
-                state.probed_at = now
-                yield SendProbe(connection)
+    def probe(self, now: int, incarnation: Incarnation) -> list[Order]:
+        """Asks one connection first, as probes are priced; all of them once one has not answered."""
+        carrying = sorted(self.carrying_of(incarnation), key=lambda one: -self.connections[one].heard_at)
+        asked = [one for one in carrying if self.connections[one].probed_at is not None]
+        unanswered = [one for one in asked if now >= (self.connections[one].probed_at or 0) + ANSWER_US]
+        silent = [one for one in carrying if one not in asked and self.is_silent(now, one)]
+        if now >= incarnation.heard_at + self.heartbeat(HEARTBEAT_US):
+            if unanswered:
+                silent = [one for one in carrying if one not in asked]
+            elif not asked:
+                silent = silent or carrying[:1]
+        for connection in (*unanswered, *silent):
+            self.connections[connection].probed_at = now  # one that has to stay unanswered is judged again
+        return [*map(Replace, unanswered), *map(SendProbe, silent)]
+
+    def is_silent(self, now: int, connection: int) -> bool:
+        return now >= self.connections[connection].heard_at + self.heartbeat(CONNECTION_HEARTBEAT_US)
 
     def restart_probes(self, now: int, incarnation: Incarnation) -> None:
         for connection in incarnation.connections:
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -34,8 +34,8 @@
 BEHIND_US = 100_000  # one that still lacks what came on another this long ago is of no more use either
 RETRY_S, RETRY_MAX_S = 0.1, 2.0  # pauses between connects while nobody asks for one
 MAX_UNSENT = 10_000  # releases that are kept until a connection to the switch comes up
-PING = "ping"  # the id of a probe that the decisions ask for
-HEARTBEAT = "heartbeat"  # and of one that only asks for a sign of life
+PING = f"{1:016x}"  # the id of a probe that the decisions ask for, in the form of a call's
+HEARTBEAT = f"{2:016x}"  # and of one that only asks for a sign of life
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -7,7 +7,9 @@
 
 from rowanmast.liveness.machine import (
     ANSWER_US,
+    CONNECTION_HEARTBEAT_US,
     HEARTBEAT_US,
+    LATER_US,
     LEASE_US,
     REMOVED_LEASE_US,
     STALL_US,
@@ -241,6 +243,33 @@
     assert not world.calls
 
 
+def test_a_forgotten_connection_that_carries_a_call_is_replaced_while_its_process_is_heard() -> None:
+    machine = SwitchLiveness(may_probe=True)
+    for connection in (1, 2):
+        machine.opened(0, connection)
+        machine.heard(0, connection)
+    machine.stands("c1", 1)
+    orders: list[Order] = []
+    for now in range(SECOND, CONNECTION_HEARTBEAT_US + ANSWER_US + SECOND, SECOND // 2):
+        machine.heard(now, 2)
+        orders += machine.check(now)
+    assert orders == [SendProbe(1), Replace(1)]
+
+
+def test_one_connection_is_asked_first_and_the_others_once_it_does_not_answer() -> None:
+    machine = SwitchLiveness(may_probe=True)
+    for connection in (1, 2, 3):
+        machine.opened(0, connection)
+    for connection in (3, 2, 1):
+        machine.heard(LATER_US, connection)
+    for connection in (1, 2, 3):
+        machine.stands(f"c{connection}", connection)
+    begun = LATER_US + HEARTBEAT_US
+    assert machine.check(begun) == [SendProbe(1)]
+    assert machine.check(begun + ANSWER_US - 1) == []
+    assert machine.check(begun + ANSWER_US) == [Replace(1), SendProbe(2), SendProbe(3)]
+
+
 def test_a_connection_that_answers_no_probe_is_replaced() -> None:
     machine = SwitchLiveness(may_probe=True)
     machine.opened(0, 1)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,7 @@
 from rowanmast import interface as api
 from rowanmast.core.ports import Answered, Attempt, AttemptOver, CallOver, SwitchDown
 from rowanmast.net import jsonlines
-from rowanmast.net.peers import BEHIND_US, MOST, SAME_US, SILENT_US, Connection, PeerLink
+from rowanmast.net.peers import BEHIND_US, MOST, PING, SAME_US, SILENT_US, Connection, PeerLink
 from rowanmast.net.turn import now_us
 
 
@@ -150,8 +150,8 @@
     report = api.Report(free=12, size=40, waiting=3)
     assert model.inbox.take() == [api.Reported("x1", True, 0, report)]
     model.link.probe()
-    assert model.written() == [("probe", "ping")]
-    model.hear(jsonlines.write("probed", "ping", {}, code=0))
+    assert model.written() == [("probe", PING)]
+    model.hear(jsonlines.write("probed", PING, {}, code=0))
     (item,) = model.inbox.take()
     assert isinstance(item, api.Reported) and not item.answered
 
