Review, case 2: eight centres, so that one draining switch is within the share of a batch

One of five was 0.2 of the switches, over the 0.18 that the site file sets for a batch; one of eight is 0.125.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,6 +24,7 @@
 POLITE = os.environ.get("POLITE") == "1"
 RESTART_AFTER_S = 1.0 if POLITE else 0.0
 
+SWITCHES = [1, 2, 3, 4, 5, 6, 7]  # site file: servers = [6, 8]; with the router's own, 0
 DRAIN_AT = 14.0
 STOP_AT = DRAIN_AT + DRAIN_S
 TERM_AT = STOP_AT - SIGKILL_S - 0.4 if POLITE else DRAIN_AT + 1.0
@@ -33,12 +34,12 @@
 async def main(record: Record, trouble: bool) -> int:
     log = ChangeLog(record)
     await log.start()
-    switches = [Switch(record, f"s-{number}", number, HOLD_S) for number in (1, 2, 3, 4)]
+    switches = [Switch(record, f"s-{number}", number, HOLD_S) for number in SWITCHES]
     draining = switches[0]
     for switch in switches:
         await switch.start()
     log.publish(True, *(switch.entry("ready") for switch in switches))
-    router = RouterProcess(record, "n0", settings(0, 5, HOLD_S), log.address)
+    router = RouterProcess(record, "n0", settings(0, len(SWITCHES) + 1, HOLD_S), log.address)
     callers = Callers(record, router.listen)
 
     ended: dict[str, tuple[float, float]] = {}  # call -> (when it was over, latest release to its caller)
@@ -61,9 +62,7 @@
         if not await router.wait_ready(callers):
             return 2
         open_for_calls = True
-        dialling = asyncio.create_task(
-            callers.dial_at(RATE, [1, 2, 3, 4], END_AT - 2.0, lambda: open_for_calls)
-        )
+        dialling = asyncio.create_task(callers.dial_at(RATE, SWITCHES, END_AT - 2.0, lambda: open_for_calls))
         if trouble:
             await asyncio.sleep(max(DRAIN_AT - record.now(), 0))
             record.note("s-1 drains")
