A change log that answers no request no longer stops the router

Cause: ChangeLogClient.poll_once aborted the first late connection until fewer were listed. An aborted connection leaves the list in connection_lost, in a later iteration of the event loop, which the loop kept from coming. The log ends with the fourth change_log_late, as expected of that loop.

Change: the connections beyond the limit are taken from the list once and aborted. Every other `while` of the daemon and the library was read for the same mistake; none has it.

Tests: test_a_silent_change_log_does_not_block_the_event_loop and test_calls_are_answered_while_discovery_hangs failed before (the latter with 112 calls without an answer and 23 without a release) and pass now.

--- a/rowanmast/net/changelog.py
+++ b/rowanmast/net/changelog.py
@@ -144,8 +144,12 @@
         await connection.lost_or_late
         if connection in self.connections:
             log.warning("change_log_late", extra={"seq": self.seq, "open": len(self.connections)})
-        while len(self.connections) > MAX_LATE_CONNECTIONS:
-            self.connections[0].abort()
+        self.abort_excess_connections()
+
+    def abort_excess_connections(self) -> None:
+        """Aborts the oldest connections beyond the limit; each leaves the list in its `connection_lost`."""
+        for connection in self.connections[:-MAX_LATE_CONNECTIONS]:
+            connection.abort()
 
     def handle_body(self, body: bytes) -> None:
         for change in self.reader.read(ujson.loads(body)):
--- a/rowanmast/trials/proxy.py
+++ b/rowanmast/trials/proxy.py
@@ -2,7 +2,8 @@
 
 For each client connection the proxy opens one to the target and forwards bytes between the two. It can go
 silent in both directions, like a machine that is cut off or has vanished: open connections carry nothing and
-new ones are never accepted. It can also refuse and reset connections, delay bytes or forward them in pieces.
+new ones are never accepted. It can also hang, like a process that accepts connections and reads nothing, or
+refuse and reset connections, delay bytes or forward them in pieces.
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
 
 
 class FaultProxy:
-    """Listens on loopback and forwards to `target`; it is either forwarding, silent or refusing."""
+    """Listens on loopback and forwards to `target`; it is either forwarding, silent, hanging or refusing."""
 
     def __init__(self, target: Address | None = None) -> None:
         self.target = target
@@ -41,6 +42,7 @@
         self.pairs: set[ConnectionPair] = set()
         self.fillers: list[socket.socket] = []
         self.is_silent = False
+        self.is_hanging = False
         self.make_observer: Callable[[], Observer] | None = None  # called for each client connection
         self.delay_s = 0.0  # in each direction
         self.piece_bytes = 0  # if not 0, bytes are forwarded in pieces of this size
@@ -110,6 +112,18 @@
             filler.close()
         self.fillers.clear()
 
+    def hang(self) -> None:
+        """Forwards nothing, but accepts connections. Bytes sent meanwhile wait in the kernel."""
+        self.is_hanging = True
+        for pair in self.pairs:
+            pair.pause()
+
+    def recover(self) -> None:
+        """Ends a hang: forwards again, including what waited in the kernel."""
+        self.is_hanging = False
+        for pair in self.pairs:
+            pair.resume()
+
     def abandon(self) -> None:
         """Silences the present connections for good; new ones are not affected."""
         for pair in self.pairs:
@@ -149,7 +163,7 @@
     def connected(self, end: ConnectionEnd) -> None:
         if end is self.client:
             self.connecting = asyncio.get_running_loop().create_task(self.connect_to_target())
-        if self.proxy.is_silent:
+        if self.proxy.is_silent or self.proxy.is_hanging:
             self.pause()
 
     async def connect_to_target(self) -> None:
--- a/rowanmast/trials/schedule.py
+++ b/rowanmast/trials/schedule.py
@@ -25,6 +25,7 @@
     SWITCH_REMOVED = "switch_removed"  # announced by discovery, without a drain
     DISCOVERY_REFUSES = "discovery_refuses"  # open connections are reset, new ones refused
     DISCOVERY_SILENT = "discovery_silent"  # connections carry nothing, new ones are not accepted
+    DISCOVERY_HANGS = "discovery_hangs"  # accepts connections and requests but answers none
     DISCOVERY_SLOW = "discovery_slow"  # answers arrive 2.5 s late
     DISCOVERY_IN_PIECES = "discovery_in_pieces"  # bytes in both directions arrive a few at a time
     ROUTER_STOPS = "router_stops"  # SIGTERM, SIGKILL as early as allowed, restart
@@ -33,7 +34,7 @@
     CALLERS_CROWD = "callers_crowd"  # many calls at once to one router
 
 
-# The faults that are drawn; SWITCH_REMOVED occurs only in INCIDENT_86EF61.
+# The faults that are drawn; SWITCH_REMOVED and DISCOVERY_HANGS occur only in fixed schedules.
 SWITCH_FAULTS = (
     FaultKind.SWITCH_VANISHES,
     FaultKind.SWITCH_CRASHES,
@@ -118,6 +119,17 @@
 HUNG_SHORT_SHUTDOWN = replace(HUNG_SHUTDOWN, wait_s=0.4, deadline_s=0.4)
 
 
+# Discovery accepts the routers' requests and answers none for longer than they keep late connections open.
+HUNG_DISCOVERY = Schedule(
+    seed=26,
+    routers=1,
+    switches=3,
+    seconds=14.0,
+    hold_s=1.0,
+    faults=(Fault(1.0, FaultKind.DISCOVERY_HANGS, duration_s=12.0),),
+)
+
+
 def draw_schedule(seed: int) -> Schedule:
     """Draws a trial with one to eight faults, one to three of them at switches; they may overlap."""
     random = Random(seed)
--- a/rowanmast/trials/trial.py
+++ b/rowanmast/trials/trial.py
@@ -311,18 +311,23 @@
         if fault.kind in (FaultKind.DISCOVERY_SLOW, FaultKind.DISCOVERY_IN_PIECES):
             await self.slow_discovery(fault)
             return
+        proxy = self.discovery_proxy
         self.discovery_is_down = True
-        if fault.kind is FaultKind.DISCOVERY_REFUSES:
-            self.discovery_proxy.refuse()
-            self.discovery_proxy.reset()
-        else:
-            self.discovery_proxy.silence()
-        await asyncio.sleep(fault.duration_s)
+        match fault.kind:
+            case FaultKind.DISCOVERY_REFUSES:
+                proxy.refuse()
+                proxy.reset()
+                await asyncio.sleep(fault.duration_s)
+                proxy.start()
+            case FaultKind.DISCOVERY_HANGS:
+                proxy.hang()
+                await asyncio.sleep(fault.duration_s)
+                proxy.recover()
+            case _:
+                proxy.silence()
+                await asyncio.sleep(fault.duration_s)
+                proxy.restore()
         self.discovery_is_down = False
-        if fault.kind is FaultKind.DISCOVERY_REFUSES:
-            self.discovery_proxy.start()
-        else:
-            self.discovery_proxy.restore()
         for name in self.unannounced_drains:
             self.checker.drain_announced(name, self.clock() + CHANGE_NOTIFICATION_S)
         self.unannounced_drains.clear()
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -1,10 +1,13 @@
-"""The client of the change log, against servers that answer late or in pieces."""
+"""The client of the change log, against servers that answer late, in pieces or not at all."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import signal
+from collections.abc import Iterator
 from random import Random
+from types import FrameType
 
 import pytest
 import uvloop
@@ -12,7 +15,84 @@
 from standins import host_entry, wait_until
 
 from rowanmast import interface as api
-from rowanmast.net.changelog import Change, ChangeLogClient, ChangeLogError, Reader
+from rowanmast.net import changelog
+from rowanmast.net.changelog import (
+    MAX_LATE_CONNECTIONS,
+    Change,
+    ChangeLogClient,
+    ChangeLogError,
+    Reader,
+)
+
+WATCHDOG_S = 15.0  # far above the run time of each test here
+
+
+@pytest.fixture(autouse=True)
+def watchdog() -> Iterator[None]:
+    """Interrupts Python code that never returns to the event loop, so that its test fails, not hangs."""
+
+    def fail(number: int, frame: FrameType | None) -> None:
+        raise AssertionError("the event loop is blocked")
+
+    former = signal.signal(signal.SIGALRM, fail)
+    signal.setitimer(signal.ITIMER_REAL, WATCHDOG_S)
+    yield
+    signal.setitimer(signal.ITIMER_REAL, 0)
+    signal.signal(signal.SIGALRM, former)
+
+
+class SilentServer:
+    """Accepts connections and requests; answers none of them before `resume`."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.answer = answer
+        self.resumed = asyncio.Event()
+        self.accepted = 0
+        self.open = 0
+        self.max_open = 0
+
+    async def start(self) -> tuple[str, int]:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        return host, port
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        self.open += 1
+        self.max_open = max(self.max_open, self.open)
+        answered = asyncio.ensure_future(self.answer_all(writer))
+        while await reader.read(4096):
+            pass
+        answered.cancel()
+        self.open -= 1
+        writer.close()
+
+    async def answer_all(self, writer: asyncio.StreamWriter) -> None:
+        await self.resumed.wait()
+        writer.write(self.answer)
+
+
+def test_a_silent_change_log_does_not_block_the_event_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a loop without end over the late connections, which stopped the whole router.
+    monkeypatch.setattr(changelog, "LONG_POLL_MS", 20)
+    monkeypatch.setattr(changelog, "RESPONSE_TIMEOUT_S", 0.03)
+
+    async def test() -> None:
+        body = json.dumps({"seq": 1, "results": [{"seq": 1}]}).encode()
+        server = SilentServer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        received: list[int] = []
+        address = await server.start()
+        changes = ChangeLogClient(address, Reader(), 0, lambda change: received.append(change.seq), Random(1))
+        changes.start()
+        await wait_until(lambda: server.accepted >= 2 * MAX_LATE_CONNECTIONS + 2, 10)
+        assert server.max_open <= MAX_LATE_CONNECTIONS + 1
+        server.resumed.set()
+        await wait_until(lambda: received == [1], 0.5)
+        changes.stop()
+        await wait_until(lambda: not changes.connections, 1)
+        server.server.close()
+
+    uvloop.run(test())
 
 
 @pytest.mark.parametrize(("late_s", "piece_s"), [(2.5, 0.0), (0.0, 0.1)], ids=["late", "in pieces"])
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,7 +9,13 @@
 import pytest
 
 from rowanmast.cli.trial import run_seed
-from rowanmast.trials.schedule import HUNG_SHORT_SHUTDOWN, HUNG_SHUTDOWN, INCIDENT_86EF61, Schedule
+from rowanmast.trials.schedule import (
+    HUNG_DISCOVERY,
+    HUNG_SHORT_SHUTDOWN,
+    HUNG_SHUTDOWN,
+    INCIDENT_86EF61,
+    Schedule,
+)
 from rowanmast.trials.trial import TrialResult, run_trial
 
 SEEDS = range(1, 9)  # of drawn trials; more are run by hand, see docs/trials.md
@@ -38,6 +44,12 @@
     assert len(stopped) == 2 and "owed=0" in stopped[0], "the router must exit by itself before the kill"
 
 
+def test_calls_are_answered_while_discovery_hangs() -> None:
+    # Guards against a router that stops for good once a fourth request to the change log is late.
+    result = run_schedule(HUNG_DISCOVERY)
+    assert result.passed, result.report()
+
+
 def test_drawn_trials_keep_the_rules() -> None:
     with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
         results = list(pool.map(run_seed, SEEDS))
