--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,7 +9,14 @@
 import pytest
 
 from rowanmast.cli.trial import run_seed
-from rowanmast.trials.schedule import HUNG_SHORT_SHUTDOWN, HUNG_SHUTDOWN, INCIDENT_86EF61, Schedule
+from rowanmast.trials.schedule import (
+    DRAIN_OVER_RESTART,
+    HUNG_DISCOVERY,
+    HUNG_SHORT_SHUTDOWN,
+    HUNG_SHUTDOWN,
+    INCIDENT_86EF61,
+    Schedule,
+)
 from rowanmast.trials.trial import TrialResult, run_trial
 
 SEEDS = range(1, 9)  # of drawn trials; more are run by hand, see docs/trials.md
@@ -38,6 +45,18 @@
     assert len(stopped) == 2 and "owed=0" in stopped[0], "the router must exit by itself before the kill"
 
 
+def test_calls_are_answered_while_discovery_hangs() -> None:
+    # Guards against a router that stops for good once a fourth request to the change log is late.
+    result = run_schedule(HUNG_DISCOVERY)
+    assert result.passed, result.report()
+
+
+def test_calls_at_draining_and_removed_switches_are_released_before_a_restart() -> None:
+    # Guards against calls that are left to the next run, which never learns that their switch has stopped.
+    result = run_schedule(DRAIN_OVER_RESTART)
+    assert result.passed, result.report()
+
+
 def test_drawn_trials_keep_the_rules() -> None:
     with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
         results = list(pool.map(run_seed, SEEDS))
