Trials report why a router did not start, and use ports outside the ephemeral range

Change: RouterProcess.start raises StartError with the last log lines as soon as the process ends, instead of a TimeoutError after 15 s. Free addresses of trials, demonstration and tests come from below the ephemeral range, so the kernel gives none of them to another socket before the router listens.

--- a/rowanmast/lab/demo.py
+++ b/rowanmast/lab/demo.py
@@ -11,6 +11,7 @@
 
 from rowanmast.app.daemon import Daemon
 from rowanmast.config import check_config
+from rowanmast.lab.ports import free_address
 from rowanmast.lab.simulated import (
     SimulatedChangeLog,
     SimulatedStation,
@@ -120,15 +121,6 @@
     }
 
 
-async def free_address() -> tuple[str, int]:
-    """Returns a currently free loopback address."""
-    server = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
-    address: tuple[str, int] = server.sockets[0].getsockname()[:2]
-    server.close()
-    await server.wait_closed()
-    return address
-
-
 async def run_demo(plan: DemoPlan, progress: Callable[[float, StationCounts], None]) -> DemoResult:
     """Runs the demonstration, calling `progress` every PROGRESS_INTERVAL_S with the time and the counts."""
     loop = asyncio.get_running_loop()
@@ -149,7 +141,7 @@
         await switch.start()
         switch.switches = {other.number: other for other in switches}
     change_log.add(True, *map(host_entry, switches))
-    listen = await free_address()
+    listen = free_address()
     router = Daemon(
         check_config(config_document(listen, change_log.address, plan.seed), Reader()), None, Reader(), loop
     )
--- a/rowanmast/trials/routers.py
+++ b/rowanmast/trials/routers.py
@@ -13,9 +13,14 @@
 from rowanmast.lab.demo import settings_document
 
 READY_TIMEOUT_S = 15.0
+LAST_LINES = 5  # of a router's log, reported if it does not start
 CALL_CLASS = "item-lookup"
 
 
+class StartError(Exception):
+    """A router's process did not become ready."""
+
+
 class RouterProcess:
     """One router, whose `name` and `listen` address survive restarts of its process."""
 
@@ -53,7 +58,7 @@
         return self.folder / f"{self.name}.json"
 
     async def start(self) -> None:
-        """Starts the process and waits until it listens. Raises TimeoutError."""
+        """Starts the process and waits until it listens. Raises StartError."""
         self.starts += 1
         self.is_killed = False
         self.ready.clear()
@@ -65,7 +70,15 @@
             stderr=asyncio.subprocess.PIPE,
         )
         self.log_reader = asyncio.get_running_loop().create_task(self.read_log())
-        await asyncio.wait_for(self.ready.wait(), READY_TIMEOUT_S)
+        ready = asyncio.ensure_future(self.ready.wait())
+        # The log ends with the process.
+        await asyncio.wait(
+            (ready, self.log_reader), timeout=READY_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not self.ready.is_set():
+            ready.cancel()
+            what = "ended" if self.log_reader.done() else f"was not ready within {READY_TIMEOUT_S:g} s"
+            raise StartError(f"{self.name} {what}; its last log lines: {self.log_lines[-LAST_LINES:]}")
 
     async def read_log(self) -> None:
         assert self.process is not None and self.process.stderr is not None
--- a/rowanmast/trials/trial.py
+++ b/rowanmast/trials/trial.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import Any
 
-from rowanmast.lab.demo import free_address
+from rowanmast.lab.ports import free_address
 from rowanmast.lab.simulated import SimulatedChangeLog
 from rowanmast.trials.callers import CallerCounts, Callers
 from rowanmast.trials.proxy import FaultProxy
@@ -149,7 +149,7 @@
             await switch.start()
         self.discovery.add(True, *(self.host_entry(switch, "ready") for switch in self.switches))
         for index in range(self.schedule.routers):
-            listen = await free_address()
+            listen = free_address()
             router = RouterProcess(f"n{index}", FIRST_ROUTER_EXCHANGE + index, listen, self.folder)
             self.configure(router)
             self.routers.append(router)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -21,6 +20,7 @@
 from rowanmast.iax2 import frames
 from rowanmast.iax2.endpoint import IaxEndpoint, Leg
 from rowanmast.iax2.frames import Control, Frame, FrameType, Iax, Ie
+from rowanmast.lab.ports import free_address
 from rowanmast.net import jsonlines, sip
 from rowanmast.net.changelog import Reader
 from rowanmast.net.input_queue import now_us
@@ -245,11 +245,10 @@
 
 def free_ports(count: int) -> list[int]:
     """Returns currently free ports of 127.0.0.1, to be used for TCP or UDP."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    found = [int(one.getsockname()[1]) for one in held]
-    for one in held:
-        one.close()
-    return found
+    found: set[int] = set()
+    while len(found) < count:
+        found.add(free_address()[1])
+    return list(found)
 
 
 class Switch:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
+from pathlib import Path
 
 import pytest
 
 from rowanmast.cli.trial import run_seed
+from rowanmast.lab.ports import first_ephemeral_port, free_address
+from rowanmast.trials.routers import RouterProcess, StartError
 from rowanmast.trials.schedule import (
     DRAIN_OVER_RESTART,
     HUNG_DISCOVERY,
@@ -57,6 +61,23 @@
     assert result.passed, result.report()
 
 
+def test_a_router_that_cannot_listen_is_reported_with_its_log(tmp_path: Path) -> None:
+    # Guards against a bare TimeoutError 15 s later that does not say why the process ended.
+    async def start(address: tuple[str, int]) -> None:
+        router = RouterProcess("n0", 100, address, tmp_path)
+        router.configure(("127.0.0.1", 1), {"seq": 0, "results": []}, deadline_s=1.0)
+        await router.start()
+
+    with socket.create_server(("127.0.0.1", 0)) as taken, pytest.raises(StartError, match="can't listen"):
+        asyncio.run(start(taken.getsockname()))
+
+
+def test_free_addresses_are_outside_the_ephemeral_port_range() -> None:
+    # Guards against a trial whose router can't listen, as the kernel has given its port to another socket.
+    ports = {free_address()[1] for _ in range(50)}
+    assert len(ports) > 1 and max(ports) < first_ephemeral_port()
+
+
 def test_drawn_trials_keep_the_rules() -> None:
     with ProcessPoolExecutor(JOBS, mp_context=get_context("spawn")) as pool:
         results = list(pool.map(run_seed, SEEDS))
