--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,43 @@
+"""The fleet grows; the links to its switches take the descriptors that the callers' connections need."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+import parties2 as parties
+
+SOCKETS = 256  # the router's limit
+BEFORE, AFTER = 7, 47  # other switches before and after the growth
+CONNECTIONS = 80  # the callers' connections, a call on each; a third of the limit are 85
+WAIT_S = 3.0
+LATE_S = 0.5 + 0.05  # an answer up to this long after the caller's wait breaks no rule
+
+
+async def case(world: parties.World) -> None:
+    for number in range(1, AFTER + 1):
+        world.add_switch(number, hold_s=30.0)
+    later = world.switches[BEFORE:]
+    del world.switches[BEFORE:]
+    await world.open(sockets=SOCKETS)
+    if world.trouble:
+        for switch in later:
+            await switch.start()
+        await world.log.add([one.entry for one in later])
+    await asyncio.sleep(5.0)
+    calls = []
+    for number in range(CONNECTIONS):
+        line = await world.callers.connect()
+        calls.append(await world.callers.dial(1 + number % BEFORE, WAIT_S, line))
+        await asyncio.sleep(0.04)
+    held = world.router.descriptors()
+    world.record.write("platform", f"the router holds {held} descriptors, its limit is {SOCKETS}")
+    await asyncio.sleep(WAIT_S + LATE_S)
+    for call in calls:
+        if not call.answers:
+            how = "its connection was closed" if call.lost else "its connection is still open"
+            world.breach(f"{call.sid}, written at {call.sent:.3f} s, has no answer; {how}")
+
+
+parties.play(case)
