Review: what was sent before a close arrives before it in the stand-in network

The stand-in dropped lines that were under way when the router closed a connection, which no network does.

--- a/review/parties2.py
+++ b/review/parties2.py
@@ -89,42 +89,52 @@
     def __init__(self, switch: Switch) -> None:
         self.switch = switch
         self.buffer = b""
-        self.open = False
+        self.open = False  # at the router's end
+        self.held = False  # at the switch's end
         self.number = 0
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.open = True
+        self.open = self.held = True
         self.switch.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The router has closed the connection; the switch hears so after what was sent before."""
         if self.open:
             self.open = False
-            self.switch.closed(self, "closed by the router" if exc is None else type(exc).__name__)
+            why = "closed by the router" if exc is None else type(exc).__name__
+            self.switch.loop.call_later(self.switch.delay_s, self.let_go, why)
+
+    def let_go(self, why: str) -> None:
+        if self.held:
+            self.held = False
+            self.switch.closed(self, why)
 
     def data_received(self, data: bytes) -> None:
         *lines, self.buffer = (self.buffer + data).split(b"\n")
         for line in lines:
-            if len(line) + 1 > LONGEST_MESSAGE:
-                self.switch.note(f"a message of {len(line) + 1} bytes on {self.number}: closed")
-                self.open = False
-                self.transport.close()
-                self.switch.closed(self, "the switch can't read it")
-                return
             if line.strip():
-                self.switch.loop.call_later(self.switch.delay_s, self.arrive, json.loads(line))
+                self.switch.loop.call_later(self.switch.delay_s, self.arrive, line)
 
-    def arrive(self, line: dict[str, Any]) -> None:
+    def arrive(self, data: bytes) -> None:
         """A line of the router reaches the switch, unless the network loses it."""
-        if self.open and self.switch.alive:
-            if self.switch.loses(self, line, True):
-                self.reset(f"lost on its way to the switch: {line['msg']} {line['sid']}")
-            else:
-                self.switch.heard(self, line)
+        if not (self.held and self.switch.alive):
+            return
+        if len(data) + 1 > LONGEST_MESSAGE:
+            self.switch.note(f"a message of {len(data) + 1} bytes on {self.number}: closed")
+            self.open = False
+            self.transport.close()
+            self.let_go("the switch can't read it")
+            return
+        line = json.loads(data)
+        if self.switch.loses(self, line, True):
+            self.reset(f"lost on its way to the switch: {line['msg']} {line['sid']}")
+        else:
+            self.switch.heard(self, line)
 
     def write(self, msg: str, sid: str, **fields: Any) -> None:
-        if self.open:
+        if self.held:
             line = {"msg": msg, "sid": sid, **fields}
             self.switch.loop.call_later(self.switch.delay_s, self.leave, line)
 
@@ -137,25 +147,17 @@
         else:
             self.transport.write(json.dumps(line).encode() + b"\n")
 
-    def cut(self) -> bool:
-        """Resets the connection at the router's end; False if it was over before."""
-        if not self.open:
-            return False
-        self.open = False
-        self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        self.transport.abort()
-        return True
+    def cut(self) -> None:
+        """Resets the connection at the router's end."""
+        if self.open:
+            self.open = False
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.transport.abort()
 
     def reset(self, why: str) -> None:
         """The network resets the connection at both ends."""
-        if self.cut():
-            self.switch.closed(self, f"reset by the network; {why}")
-
-    def reset_at_router(self, notices_s: float) -> None:
-        """The network resets the connection at the router's end; the switch notices after `notices_s`."""
-        if self.cut():
-            self.switch.note(f"connection {self.number} reset at the router's end; not noticed here yet")
-            self.switch.loop.call_later(notices_s, self.switch.closed, self, "noticed now")
+        self.cut()
+        self.let_go(f"reset by the network; {why}")
 
 
 class Switch:
@@ -282,7 +284,7 @@
     def end(self, sid: str) -> None:
         call = self.calls[sid]
         self.note(f"call {sid} came to its end: release written")
-        wire = call.wire if call.wire.open else next((one for one in self.wires if one.open), None)
+        wire = call.wire if call.wire.held else next(iter(self.wires), None)
         if wire is not None:
             wire.write("close", sid, attrs={"load": self.load()}, code=CAUSE_NORMAL)
         self.ended.append(sid)
@@ -303,7 +305,7 @@
 
     def send_status(self) -> None:
         self.status_timer = None
-        for wire in [one for one in self.wires if one.open][:4]:
+        for wire in self.wires[:4]:
             wire.write("status", "", attrs={"load": self.load()})
 
     def kill(self) -> None:
