--- a/review/parties2.py
+++ b/review/parties2.py
@@ -134,13 +134,13 @@
             self.switch.heard(self, line)
 
     def write(self, msg: str, sid: str, **fields: Any) -> None:
-        if self.held:
+        if self.held and self.switch.alive:
             line = {"msg": msg, "sid": sid, **fields}
             self.switch.loop.call_later(self.switch.delay_s, self.leave, line)
 
     def leave(self, line: dict[str, Any]) -> None:
         """A line of the switch reaches the router, unless the network loses it."""
-        if not self.open:
+        if not (self.open and self.switch.alive):
             return
         if self.switch.loses(self, line, False):
             self.reset(f"lost on its way to the router: {line['msg']} {line['sid']}")
@@ -187,8 +187,10 @@
         )
         self.loop = asyncio.get_running_loop()
         self.port = free_port()
-        self.server: asyncio.Server | None = None
-        self.reopening: asyncio.Task[None] | None = None
+        self.listener: socket.socket | None = None
+        self.accepting: asyncio.Task[None] | None = None
+        self.attaching: set[asyncio.Task[None]] = set()
+        self.fillers: list[socket.socket] = []  # they occupy the accept queue of a machine that has vanished
         self.wires: list[Wire] = []
         self.calls: dict[str, Call] = {}
         self.ended: list[str] = []  # calls whose release goes on the next connection opened as well
@@ -217,10 +219,35 @@
         return self.record.write(self.name, text)
 
     async def start(self) -> None:
-        self.server = await self.loop.create_server(
-            lambda: Wire(self), LOOPBACK, self.port, reuse_address=True, backlog=64
-        )
-        self.reopening = None
+        self.listen()
+
+    def listen(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind((LOOPBACK, self.port))
+        self.listener.listen(64)
+        self.accepting = self.loop.create_task(self.accept(self.listener))
+
+    async def accept(self, listener: socket.socket) -> None:
+        while True:
+            connection, _ = await self.loop.sock_accept(listener)
+            # In a task of its own, as `opened` may end this one.
+            task = self.loop.create_task(self.attach(connection))
+            self.attaching.add(task)
+            task.add_done_callback(self.attaching.discard)
+
+    async def attach(self, connection: socket.socket) -> None:
+        await self.loop.connect_accepted_socket(lambda: Wire(self), connection)
+
+    def refuse(self) -> None:
+        """Refuses further connections; those that are open go on."""
+        if self.accepting is not None:
+            self.accepting.cancel()
+            self.accepting = None
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
 
     def load(self) -> str:
         return f"x0:{self.circuits - len(self.calls)};x1:{self.circuits};util:0.5;queue:0"
@@ -234,16 +261,15 @@
         for call in self.ended:
             wire.write("close", call, attrs={"load": self.load()}, code=CAUSE_NORMAL)
         self.ended.clear()
-        if len(self.wires) >= self.admits and self.server is not None:
-            self.server.close()
-            self.server = None
+        if len(self.wires) >= self.admits and self.listener is not None:
+            self.refuse()
             self.note("holds as many connections as it admits: further ones are refused")
 
     def admit_again(self) -> None:
         """Listens again once it holds fewer connections than it admits."""
-        if self.alive and self.server is None and self.reopening is None and len(self.wires) < self.admits:
+        if self.alive and self.listener is None and len(self.wires) < self.admits:
             self.note("admits connections again")
-            self.reopening = self.loop.create_task(self.start())
+            self.listen()
 
     def closed(self, wire: Wire, why: str) -> None:
         self.wires.remove(wire)
@@ -311,17 +337,27 @@
     def kill(self) -> None:
         """The process dies: its connections are reset, its calls are cut, new connections are refused."""
         self.note(f"killed; calls cut: {' '.join(sid for sid, one in self.calls.items() if one.stands)}")
-        self.stop()
+        self.alive = False
+        self.refuse()
         for wire in list(self.wires):
             wire.reset("the process died")
         for sid in list(self.calls):
             self.drop(sid, "cut by the death of the switch")
 
-    def stop(self) -> None:
+    def vanish(self) -> None:
+        """The machine vanishes: its connections stay open and silent, new ones never come up."""
+        self.note(f"vanished; calls cut: {' '.join(sid for sid, one in self.calls.items() if one.stands)}")
         self.alive = False
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        for sid in list(self.calls):
+            self.drop(sid, "cut as the machine vanished")
+        if self.accepting is not None and self.listener is not None:
+            self.accepting.cancel()
+            self.listener.listen(0)
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((LOOPBACK, self.port))
+                self.fillers.append(filler)
 
 
 # The change log
@@ -534,7 +570,14 @@
     """The project's daemon, started as the platform does: by the deploy file's `run`."""
 
     def __init__(
-        self, record: Record, folder: Path, log: ChangeLog, balancers: int, *, sockets: int = 1024
+        self,
+        record: Record,
+        folder: Path,
+        log: ChangeLog,
+        balancers: int,
+        *,
+        sockets: int = 1024,
+        probes: bool = True,
     ) -> None:
         """`sockets` is the limit of descriptors, which the platform enforces."""
         self.record = record
@@ -542,6 +585,7 @@
         self.log = log
         self.balancers = balancers
         self.sockets = sockets
+        self.probes = probes
         self.port = free_port()
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
@@ -551,6 +595,7 @@
         document = json.loads((ROOT / "examples" / "config.json").read_text())
         settings = document["settings"]
         settings["balancers"] = self.balancers
+        settings["limits"]["probes"] = self.probes
         document |= {
             "name": "n0",
             "listen": f"{LOOPBACK}:{self.port}",
