--- a/review/parties2.py
+++ b/review/parties2.py
@@ -27,6 +27,7 @@
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s, so that closing sends a reset
 CLASS = "item-lookup"
 LONGEST_MESSAGE = 16 * 1024  # bytes
+CROSSED_S = 0.05  # a set-up written this long before its connection closed is sent again, once
 CAUSE_NORMAL, CAUSE_FULL, CAUSE_CUT = 16, 34, 41
 READY_S = 15.0  # a router that is not ready by then can't be judged
 
@@ -434,6 +435,8 @@
         self.released_at: float | None = None  # when the router released it
         self.hung_up_at: float | None = None
         self.lost = False  # its connection ended before an answer
+        self.invite: tuple[str, dict[str, str], str] = ("", {}, "")  # number called, fields, description
+        self.places: list[int] = []  # its place among the set-ups of each connection that it was sent on
         self.done = asyncio.Event()
 
 
@@ -445,6 +448,7 @@
         self.port = port
         self.calls: dict[str, Dialled] = {}
         self.lines: list[Line] = []
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def connect(self) -> Line:
         loop = asyncio.get_running_loop()
@@ -457,7 +461,6 @@
             line = next((one for one in self.lines if one.open), None) or await self.connect()
         sid = f"{random.getrandbits(64):016x}"
         call = self.calls[sid] = Dialled(sid, self.record.now(), wait_s)
-        line.calls.add(sid)
         head = {
             "X-Service": CLASS,
             "X-Setup-Ms": str(int(wait_s * 1000)),
@@ -466,10 +469,21 @@
         body = (
             f"{random.getrandbits(64):016x}\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n{more}"
         )
-        size = line.request("INVITE", sid, f"{random.getrandbits(64):016x}", head, body)
+        call.invite = (f"{random.getrandbits(64):016x}", head, body)
+        size = line.set_up(call)
         call.sent = self.record.write("caller", f"INVITE {sid} to {dest}, {size} bytes, waits {wait_s} s")
         return call
 
+    async def send_again(self, calls: list[Dialled]) -> None:
+        """Sends set-ups that crossed the close of their connection again, on a new one."""
+        try:
+            line = await self.connect()
+        except OSError:
+            return
+        for call in calls:
+            line.set_up(call)
+            self.record.write("caller", f"INVITE {call.sid} again, on a new connection")
+
     async def hang_up(self, call: Dialled) -> None:
         line = next((one for one in self.lines if one.open), None) or await self.connect()
         line.request("BYE", call.sid, call.sid, {"Reason": "Q.850;cause=16"})
@@ -483,7 +497,8 @@
         self.callers = callers
         self.buffer = b""
         self.open = False
-        self.calls: set[str] = set()  # unanswered set-ups on it
+        self.calls: dict[str, float] = {}  # unanswered set-ups on it, and when they were written
+        self.set_ups = 0
         self.tests: list[asyncio.Future[int]] = []
         self.transport: asyncio.Transport
 
@@ -495,14 +510,32 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
         self.callers.lines.remove(self)
-        for sid in self.calls:
-            self.callers.calls[sid].lost = True
-            self.callers.record.write("caller", f"connection of {sid} ended without an answer")
-            self.callers.calls[sid].done.set()
+        record = self.callers.record
+        again = []
+        for sid, written_at in self.calls.items():
+            call = self.callers.calls[sid]
+            if len(call.places) == 1 and record.now() - written_at <= CROSSED_S:
+                again.append(call)
+                continue
+            call.lost = True
+            record.write("caller", f"connection of {sid} ended without an answer")
+            call.done.set()
+        if again:
+            task = asyncio.get_running_loop().create_task(self.callers.send_again(again))
+            self.callers.tasks.add(task)
+            task.add_done_callback(self.callers.tasks.discard)
         for test in self.tests:
             if not test.done():
                 test.set_result(0)
 
+    def set_up(self, call: Dialled) -> int:
+        """Sends the set-up of a call; returns its bytes."""
+        self.set_ups += 1
+        call.places.append(self.set_ups)
+        self.calls[call.sid] = self.callers.record.now()
+        user, head, body = call.invite
+        return self.request("INVITE", call.sid, user, head, body)
+
     def request(self, method: str, sid: str, user: str, head: dict[str, str], body: str = "") -> int:
         """Sends a request; returns its bytes."""
         lines = [
@@ -551,7 +584,7 @@
                 call.answers += 1
                 call.status, call.text = status, body
                 call.answered_at = write("caller", f"answer {status} to {sid}")
-                self.calls.discard(sid)
+                self.calls.pop(sid, None)
                 self.request("ACK", sid, sid, {})
                 call.done.set()
         elif start.startswith("BYE "):
