--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 
 async def case(world: parties.World) -> None:
     for number in range(1, AFTER + 1):
-        world.add_switch(number, hold_s=30.0)
+        world.add_switch(number, hold_s=12.0)
     later = world.switches[BEFORE:]
     del world.switches[BEFORE:]
     await world.open(sockets=SOCKETS)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,8 @@
 import parties2 as parties
 
 CALLS = 4  # whose answers are lost, one at a time
-LONGEST_S = 4.0  # a caller's wait, and some more
+APART_S = 1.5  # so that all resets fall within 6 s
+LONGEST_S = 3.5  # a caller's wait, and some more
 
 
 async def case(world: parties.World) -> None:
@@ -31,7 +32,8 @@
             await world.callers.dial(switch.number)
         call = await world.callers.dial(first.number)
         marked.add(call.sid)
-        await asyncio.sleep(LONGEST_S)
+        await asyncio.sleep(APART_S)
+    await asyncio.sleep(LONGEST_S)
     for sid, stood_at in first.stood.items():
         over_at, how = first.over.get(sid, (world.record.now(), "nobody has released it yet"))
         for other in (second, third):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -21,7 +21,8 @@
 
 async def case(world: parties.World) -> None:
     switch = world.add_switch(1, hold_s=HOLD_S)
-    world.add_switch(2)
+    for number in (2, 3, 4):  # the one that vanishes is a quarter of them
+        world.add_switch(number)
     await world.open(probes=os.environ.get("PROBES") == "1")
     calls = [await world.callers.dial(1) for _ in range(CALLS)]
     await asyncio.gather(*(call.done.wait() for call in calls))
--- a/review/parties2.py
+++ b/review/parties2.py
@@ -53,16 +53,22 @@
         return now
 
 
+GIVEN_PORTS: set[int] = set()
+
+
 def free_port() -> int:
-    """A loopback port below the ephemeral range that is free now for TCP and UDP."""
+    """A loopback port below the ephemeral range that is free now for TCP and UDP, each once."""
     for _ in range(500):
         port = random.randrange(12_000, 30_000)
+        if port in GIVEN_PORTS:
+            continue
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 with socket.socket(socket.AF_INET, kind) as probe:
                     probe.bind((LOOPBACK, port))
         except OSError:
             continue
+        GIVEN_PORTS.add(port)
         return port
     raise CannotRun("no free port")
 
@@ -467,7 +473,7 @@
             "X-Route": f"dest:{dest};width:1;via:-1",
         }
         body = (
-            f"{random.getrandbits(64):016x}\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n{more}"
+            f"{random.getrandbits(64):016x}\r\nc=IN IP4 127.0.0.1\r\nm=audio 3100 RTP/AVP 0 8 101\r\n{more}"
         )
         call.invite = (f"{random.getrandbits(64):016x}", head, body)
         size = line.set_up(call)
@@ -667,7 +673,6 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                start_new_session=True,
             )
         self.record.write("platform", f"router started, run {self.starts}")
 
@@ -759,6 +764,7 @@
 
 def play(case: Callable[[World], Awaitable[None]], limit_s: float = 100.0) -> None:
     """Plays a case and ends with 0 (the rule held), 1 (it was broken) or 2 (the case couldn't run)."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the router is ended then, too
     folder = Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
     code = 2
