Release set-ups whose connection is lost, and resend undelivered releases

Cause: a lost connection's set-ups in flight were reported as cut and forgotten. The switch gives up the unanswered ones only; one whose answer was on the connection stands, and nobody told the switch. Releases and cancellations that were lost with a connection were not sent again either.

PendingReleases keeps each release until the switch acknowledges it or its connection has stayed open for 5 s, and queues it again when the connection is lost; set-ups in flight on a lost connection are queued for release too.

--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
 from random import Random
 
@@ -31,6 +30,7 @@
 from rowanmast.net import jsonlines
 from rowanmast.net.input_queue import now_us
 from rowanmast.net.peer_connection import SwitchConnection
+from rowanmast.net.pending_releases import PendingReleases
 
 MAX_CONNECTIONS = 4  # per switch: losing one fails only the set-ups that are in flight on it
 # When a set-up that was sent at least this long ago is cancelled, its connection is replaced if it has
@@ -39,7 +39,6 @@
 STATUS_SPREAD_US = 50_000  # a switch sends each status on all its connections within this time
 MAX_STATUS_LAG_US = 100_000  # a connection that has lacked a status for this long is replaced
 RECONNECT_MIN_S, RECONNECT_MAX_S = 0.1, 2.0  # backoff between connects that no set-up is waiting for
-MAX_QUEUED_RELEASES = 10_000  # releases kept until a connection to the switch is open
 LOAD_PROBE_ID = f"{1:016x}"  # of the probes that the decision module requests; in the form of a call id
 LIVENESS_PROBE_ID = f"{2:016x}"  # of the probes that `liveness` requests, only to check for a response
 
@@ -84,7 +83,7 @@
         self.backoff_s = RECONNECT_MIN_S
         self.queued_attempts: dict[str, Attempt] = {}  # sent as soon as a connection is open
         self.attempt_connections: dict[str, SwitchConnection] = {}  # of the set-ups in flight, by call
-        self.queued_releases: deque[bytes] = deque(maxlen=MAX_QUEUED_RELEASES)  # no connection was open
+        self.releases = PendingReleases()
         self.load_probed_at: int | None = None
         self.liveness_timer: asyncio.TimerHandle | None = None
         self.verify_started_at = 0  # when the connections that carry calls were last probed by `verify_alive`
@@ -110,18 +109,16 @@
         if connection is None:
             return
         attempt = connection.in_flight.pop(call)
-        connection.write(close_line(call, causes.NORMAL_CLEARING))
+        self.write_cancellation(connection, call)
         if max(attempt.sent_at, connection.heard_at) <= now_us() - SILENCE_TIMEOUT_US:
             self.drop_unresponsive(connection)
         self.close_unneeded()
 
     def release(self, call: str, cause: int) -> None:
         self.liveness.call_released(call)
-        line = close_line(call, cause)
-        if self.connections:
-            max(self.connections, key=lambda one: one.heard_at).write(line)
-        elif not self.closed:
-            self.queued_releases.append(line)
+        self.releases.queue(call, close_line(call, cause))
+        self.send_releases()
+        if self.releases:
             self.connect()
         self.close_unneeded()
 
@@ -188,17 +185,16 @@
         log.warning("calls_given_up", extra=details)
         for call in calls:
             self.inbox.post(CallEnded(self.exchange, call, api.Outcome.CUT, why=why))
-            self.queued_releases.append(close_line(call, causes.TEMPORARY_FAILURE))
-        self.send_queued_releases()
+            self.releases.queue(call, close_line(call, causes.TEMPORARY_FAILURE))
+        self.send_releases()
 
-    def send_queued_releases(self) -> None:
-        """Sends them on the connection that received data last, if there is one."""
-        if not self.connections:
+    def send_releases(self) -> None:
+        """Sends the queued ones on the connection that received data last, if there is one."""
+        if not (self.connections and self.releases):
             return
         connection = max(self.connections, key=lambda one: one.heard_at)
-        for line in self.queued_releases:
+        for line in self.releases.take_queued(connection.number, now_us()):
             connection.write(line)
-        self.queued_releases.clear()
 
     def close_unneeded(self) -> None:
         """Closes connections that no call or set-up needs: retired ones and those of a removed switch.
@@ -224,10 +220,17 @@
         connection = min(self.connections, key=lambda one: len(one.in_flight))
         left_ms = max((attempt.deadline - now_us()) // 1000, 1)
         attrs = {"class": attempt.klass, "key": attempt.key, "left": str(left_ms)}
+        self.releases.forget(attempt.call)  # of an earlier attempt; it would cut this one
         self.attempt_connections[attempt.call] = connection
         connection.in_flight[attempt.call] = attempt
         connection.write(jsonlines.encode("open", attempt.call, attrs, text=attempt.text))
 
+    def write_cancellation(self, connection: SwitchConnection, call: str) -> None:
+        """Cancels the call's set-up on the connection on which it was sent."""
+        line = close_line(call, causes.NORMAL_CLEARING)
+        connection.write(line)
+        self.releases.record_sent(call, line, connection.number, now_us())
+
     # Reading
 
     def handle_line(self, connection: SwitchConnection, line: jsonlines.Line) -> None:
@@ -240,6 +243,8 @@
                 self.inbox.post(Answered(self.exchange, line.sid, number, line.text))
             case "close":
                 self.handle_close(connection, line)
+            case "closed":
+                self.releases.forget(line.sid)
             case "status":
                 self.inbox.post(api.LoadReported(self.exchange, True, 0, line.report))
                 if connection.status_received:  # the first status of a new connection comes on that one only
@@ -310,8 +315,9 @@
         self.retired.append(connection)
         self.log_closed(connection, "retired")
         for call in connection.in_flight:
-            connection.write(close_line(call, causes.NORMAL_CLEARING))
+            self.write_cancellation(connection, call)
         self.fail_attempts(connection)
+        self.send_releases()
         self.connect()
 
     def pop_attempt(self, call: str) -> Attempt | None:
@@ -372,7 +378,7 @@
         connection.number = self.last_connection_number
         log.info("connection_opened", extra={"exchange": self.exchange, "connection": connection.number})
         self.liveness.connection_opened(connection.opened_at, connection.number)
-        self.send_queued_releases()
+        self.send_releases()
         waiting, self.queued_attempts = self.queued_attempts, {}
         for attempt in waiting.values():
             if self.gate.may_send(attempt):
@@ -382,11 +388,13 @@
         self.connect()
 
     def connection_closed(self, connection: SwitchConnection, why: str) -> None:
-        """Fails the set-ups in flight, which the switch drops with the connection; standing calls remain.
+        """Fails the set-ups in flight; standing calls remain.
 
-        They are ended if the switch is removed and this was its last connection.
+        They are ended if the switch is removed and this was its last connection. The switch drops the set-ups
+        with the connection, except those that it had answered: such a call stands, so each is released.
         """
         self.liveness.connection_lost(now_us(), connection.number)
+        self.releases.connection_lost(connection.number, now_us())
         if connection in self.retired:
             self.retired.remove(connection)
             self.connect()
@@ -395,6 +403,7 @@
             self.log_closed(connection, why)
             self.fail_attempts(connection)
             self.reconnect(connection)
+            self.send_releases()
         if self.on_removal_done is not None and not (self.closed or self.connections or self.retired):
             self.end_calls(self.liveness.end_all_calls(), EndReason.SWITCH_REMOVED)
             self.close_unneeded()
@@ -403,6 +412,7 @@
         for attempt in connection.in_flight.values():
             del self.attempt_connections[attempt.call]
             self.post_attempt_failed(attempt, api.Outcome.CUT)
+            self.releases.queue(attempt.call, close_line(attempt.call, causes.NORMAL_CLEARING))
         connection.in_flight.clear()
 
     def reconnect(self, connection: SwitchConnection) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,7 +21,9 @@
     STATUS_SPREAD_US,
     JsonSwitchLink,
     SwitchConnection,
+    close_line,
 )
+from rowanmast.net.pending_releases import DELIVERY_TIMEOUT_US, MAX_PENDING, PendingReleases
 
 
 class ManualLink(JsonSwitchLink):
@@ -49,6 +51,7 @@
         self.call_states: dict[str, str] = {}  # by call: queued, in_flight, standing or ended
         self.transport_of: dict[str, FakeTransport] = {}  # the connection on which each set-up was sent
         self.queued_releases: list[str] = []  # to be sent on the next connection
+        self.release_transport: dict[str, FakeTransport] = {}  # where each release was sent last
         self.serial = 0
 
     def calls(self, *states: str) -> list[str]:
@@ -64,6 +67,8 @@
                 got.append((message.msg, message.sid))
                 if message.msg == "open":
                     self.transport_of[message.sid] = transport
+                elif message.msg == "close":
+                    self.release_transport[message.sid] = transport
         return sorted(got)
 
     def step(self, kind: str, pick: int) -> None:
@@ -98,10 +103,17 @@
             transport = self.transports.pop(pick % len(self.transports))
             (transport.close if pick % 2 else lambda: transport.protocol.data_received(b"[]\n"))()
             assert transport.closed
-            self.expect_attempts_failed(
-                [one for one in self.calls("in_flight") if self.transport_of[one] is transport],
-                api.Outcome.CUT,
-            )
+            cut = [one for one in self.calls("in_flight") if self.transport_of[one] is transport]
+            self.expect_attempts_failed(cut, api.Outcome.CUT)
+            # The switch may have answered those, and may not have read what was released on this connection.
+            undelivered = cut + [
+                one for one, sent_on in self.release_transport.items() if sent_on is transport
+            ]
+            if self.transports:
+                expected = [("close", one) for one in undelivered]
+            else:
+                self.queued_releases += undelivered
+                self.release_transport.clear()
         elif kind == "answer" and self.transports and state == "in_flight":
             ready = jsonlines.encode("ready", call, {}, text="é")
             self.deliver(jsonlines.encode("trying", call, {}), ready, on=pick)
@@ -205,6 +217,54 @@
     assert transport.take() == b"" and list(model.link.queued_attempts) == ["c1"]
 
 
+def test_a_call_whose_answer_is_lost_with_its_connection_is_released_at_the_switch() -> None:
+    # review/8: the call stood at this switch for its whole length while it was set up at another one.
+    model = connected_model()
+    model.step("up", 0)
+    model.step("set_up", 0)
+    lost, other = model.transports
+    lost.close()  # reset while the answer is on it
+    assert model.inbox.take() == [AttemptFailed("x1", "c1", 0, api.Outcome.CUT)]
+    assert other.take() == close_line("c1", 16)
+
+
+def test_a_release_lost_with_its_connection_is_sent_again_until_it_is_acknowledged() -> None:
+    # A caller's hang-up, or the cancellation of a set-up, went down with its connection.
+    model = connected_model()
+    model.step("up", 0)
+    link, (first, second) = model.link, model.transports
+    second.protocol.heard_at = 0  # so that releases go to the first
+    link.release("hung up", 16)
+    link.set_up(Attempt("cancelled", 0, "x1", "plain", "77", "text", now_us(), 10**15))
+    link.cancel("cancelled")
+    link.release("acknowledged", 16)
+    model.deliver(jsonlines.encode("closed", "acknowledged", {}), on=1)
+    second.take()
+    first.close()
+    assert sorted(second.take().splitlines(True)) == [close_line("cancelled", 16), close_line("hung up", 16)]
+
+
+def test_no_old_release_cuts_a_call_that_is_set_up_again_at_the_same_switch() -> None:
+    model = connected_model()
+    model.link.release("c1", 16)
+    model.link.set_up(Attempt("c1", 1, "x1", "plain", "77", "text", now_us(), 10**15))
+    model.deliver(jsonlines.encode("ready", "c1", {}))
+    (lost,) = model.transports
+    lost.close()
+    assert not model.link.releases
+
+
+def test_a_release_counts_as_received_after_the_delivery_timeout() -> None:
+    releases = PendingReleases()
+    releases.record_sent("c1", b"old", 1, 0)
+    releases.record_sent("c2", b"new", 1, 1)
+    releases.connection_lost(1, DELIVERY_TIMEOUT_US)
+    assert releases.take_queued(2, DELIVERY_TIMEOUT_US) == [b"new"]
+    for number in range(MAX_PENDING + 1):
+        releases.queue(f"c{number}", b"line")
+    assert len(releases.take_queued(3, DELIVERY_TIMEOUT_US)) == MAX_PENDING
+
+
 def test_a_silent_connection_is_closed_when_a_set_up_on_it_is_cancelled() -> None:
     model = connected_model()
     for age in (SILENCE_TIMEOUT_US // 2, SILENCE_TIMEOUT_US):
