Divide the descriptors between callers and the links to all switches

Cause: each link held four connections whatever limits.sockets said, while half of the descriptors were given to callers; there was no limit of the sum.

ConnectionBudget divides what is left of the descriptors among the links, one to four connections each, and closes surplus ones once no call needs them.

--- a/rowanmast/app/components.py
+++ b/rowanmast/app/components.py
@@ -17,7 +17,6 @@
 from rowanmast.iax2.peers import IaxSwitchLink
 from rowanmast.net import callers
 from rowanmast.net.input_queue import now_us
-from rowanmast.net.peers import JsonSwitchLink
 
 log = logging.getLogger("rowanmast")
 
@@ -39,10 +38,7 @@
             return None
         router, timeout_s = self.router, self.router.config.connect_s
         connector = Connector(exchange, endpoints, self.preference, router.random, now_us, timeout_s)
-        probes = router.config.settings.probes
-        return JsonSwitchLink(
-            exchange, address, router, router.ledger, timeout_s, router.random, connector, may_probe=probes
-        )
+        return router.make_json_link(exchange, address, connector)
 
 
 class SipComponent:
--- a/rowanmast/app/daemon.py
+++ b/rowanmast/app/daemon.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -28,9 +29,25 @@
 
 RESTART_ONLY_FIELDS = ("name", "listen", "sockets", "settings", "connect_s")  # changes need a restart
 
+# Neither callers' connections nor links: standard streams, event loop, listening sockets, change log, VRRP.
+RESERVED_DESCRIPTORS = 24
+
 log = logging.getLogger("rowanmast")
 
 
+@dataclass(frozen=True, slots=True)
+class DescriptorShares:
+    """How the limit of file descriptors is divided. Callers hold a third at most (PROTOCOL)."""
+
+    callers: int
+    links: int  # of all switches together
+
+    @classmethod
+    def of(cls, limit: int) -> DescriptorShares:
+        callers = limit // 2
+        return cls(callers, max(limit - callers - RESERVED_DESCRIPTORS, 1))
+
+
 class Daemon(Router):
     """A router with a SIP front and, if configured, IAX2."""
 
@@ -47,8 +64,11 @@
 
         They are tried in the order of `preference`.
         """
-        self.sip_front = SipFront(self, config.sockets // 2, now_us)
-        super().__init__(config, reader, loop, orphan_front=self.sip_front)
+        descriptors = DescriptorShares.of(config.sockets)
+        self.sip_front = SipFront(self, descriptors.callers, now_us)
+        super().__init__(
+            config, reader, loop, orphan_front=self.sip_front, max_link_connections=descriptors.links
+        )
         if addresses:
             self.add_link_factory(MultiAddressLinks(self, addresses, preference or Preference()).make_link)
         self.iax = None if iax is None else IaxComponent(self, iax)
--- a/rowanmast/app/router.py
+++ b/rowanmast/app/router.py
@@ -12,6 +12,7 @@
 from random import Random
 from typing import Protocol
 
+from rowanmast.addresses.connector import Connector
 from rowanmast.app.switches import Address, ManagedLink, SwitchLinks
 from rowanmast.call_agent import CallAgent
 from rowanmast.config import Config
@@ -19,6 +20,7 @@
 from rowanmast.core.ledger import Ledger, with_release_margin
 from rowanmast.core.ports import EndUnanswered, Front, Input, SwitchLink
 from rowanmast.net.changelog import Change, ChangeLogClient, Reader
+from rowanmast.net.connection_budget import ConnectionBudget
 from rowanmast.net.input_queue import InputQueue
 from rowanmast.net.peers import JsonSwitchLink
 
@@ -72,16 +74,19 @@
         loop: asyncio.AbstractEventLoop,
         orphan_front: Front | None = None,
         share: ColdShare | None = None,
+        max_link_connections: int | None = None,
     ) -> None:
         """Opens no socket yet; see `open`.
 
         `orphan_front` is notified of the ends of calls that an earlier run left standing. `share` is the
-        common account for cold switches of all routers in this process.
+        common account for cold switches of all routers in this process. `max_link_connections` limits the
+        connections to all switches together.
         """
         self.config = config
         self.reader = reader
         self.loop = loop
         self.random = Random(config.seed)
+        self.connection_budget = ConnectionBudget(max_link_connections)
         self.switches = SwitchLinks(config.settings.own_exchange, self.make_link)
         agent = CallAgent(with_release_margin(config.settings, RELEASE_MARGIN_US), config.seed)
         cold_share = None if share is None else share.join(config.name, config.settings)
@@ -134,9 +139,22 @@
         special = next((link for link in made if link is not None), None)
         if special is not None:
             return special
-        config, probes = self.config, self.config.settings.probes
+        return self.make_json_link(exchange, address)
+
+    def make_json_link(
+        self, exchange: str, address: Address, connector: Connector | None = None
+    ) -> JsonSwitchLink:
+        """Creates a JSON lines link; a `connector`, if given, chooses the address to connect to."""
         return JsonSwitchLink(
-            exchange, address, self, self.ledger, config.connect_s, self.random, may_probe=probes
+            exchange,
+            address,
+            self,
+            self.ledger,
+            self.config.connect_s,
+            self.random,
+            connector,
+            may_probe=self.config.settings.probes,
+            budget=self.connection_budget,
         )
 
     # Life cycle
--- a/rowanmast/liveness/machine.py
+++ b/rowanmast/liveness/machine.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 PROBE_IDLE_US = 3_000_000  # silence of a process with calls after which one of its connections is probed
@@ -189,6 +189,13 @@
         state = self.connections.get(connection)
         return state is not None and bool(state.incarnation.calls)
 
+    def may_receive_release(self, connection: int) -> bool:
+        """Whether releases of standing calls are expected on this connection rather than on others."""
+        state = self.connections.get(connection)
+        if state is None or not state.incarnation.calls:
+            return False
+        return connection in self.call_connections_of(state.incarnation)
+
     def is_sole_connection(self, connection: int) -> bool:
         """Whether this is the only connection known to lead to its process, and calls stand there."""
         state = self.connections.get(connection)
@@ -261,7 +268,7 @@
             if incarnation.calls:
                 yield from self.call_connections_of(incarnation)
 
-    def call_connections_of(self, incarnation: Incarnation) -> Iterable[int]:
+    def call_connections_of(self, incarnation: Incarnation) -> Collection[int]:
         """The connections on which releases of the calls may arrive.
 
         These are the ones on which calls were set up, or all connections once one of those has been lost.
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -28,11 +28,11 @@
     SwitchLiveness,
 )
 from rowanmast.net import jsonlines
+from rowanmast.net.connection_budget import ConnectionBudget
 from rowanmast.net.input_queue import now_us
 from rowanmast.net.peer_connection import SwitchConnection
 from rowanmast.net.pending_releases import PendingReleases
 
-MAX_CONNECTIONS = 4  # per switch: losing one fails only the set-ups that are in flight on it
 # When a set-up that was sent at least this long ago is cancelled, its connection is replaced if it has
 # received nothing for this long.
 SILENCE_TIMEOUT_US = 300_000
@@ -62,10 +62,12 @@
         random: Random,
         connector: Connector | None = None,
         may_probe: bool = True,
+        budget: ConnectionBudget | None = None,
     ) -> None:
         """`address` comes from the change log; a `connector`, if given, chooses the address to connect to.
 
-        Without `may_probe`, connections are not probed for liveness.
+        Without `may_probe`, connections are not probed for liveness. `budget` is shared by all links of the
+        router.
         """
         self.liveness = SwitchLiveness(may_probe)
         self.exchange = exchange
@@ -91,6 +93,8 @@
         self.on_removal_done: Callable[[], None] | None = None
         self.closed = False
         self.last_connection_number = 0  # connections are numbered in the order in which they open
+        self.budget = budget or ConnectionBudget()
+        self.budget.add(self)
         self.connect()
 
     # SwitchLink
@@ -204,6 +208,7 @@
         for connection in list(self.retired):
             if not self.liveness.is_sole_connection(connection.number):
                 connection.close()
+        self.close_surplus()
         if self.on_removal_done is None or self.closed:
             return
         for connection in list(self.connections):
@@ -213,11 +218,45 @@
             self.close()
             self.on_removal_done()
 
+    # The budget of connections
+
+    @property
+    def connection_count(self) -> int:
+        return self.usable_count + len(self.retired)
+
+    @property
+    def usable_count(self) -> int:
+        return len(self.connections) + (self.connect_task is not None)
+
+    def budget_changed(self) -> None:
+        self.close_surplus()
+        self.connect()
+
+    def close_surplus(self) -> None:
+        """Closes connections beyond the budget that no call needs; set-ups are not sent on these."""
+        for connection in self.connections[self.budget.per_link :]:
+            if self.is_unused(connection):
+                self.close_unused(connection)
+
+    def close_idle_connection(self) -> bool:
+        unused = next((one for one in reversed(self.connections) if self.is_unused(one)), None)
+        if unused is not None:
+            self.close_unused(unused)
+        return unused is not None
+
+    def is_unused(self, connection: SwitchConnection) -> bool:
+        return not connection.in_flight and not self.liveness.may_receive_release(connection.number)
+
+    def close_unused(self, connection: SwitchConnection) -> None:
+        self.connections.remove(connection)
+        self.log_closed(connection, "unused")
+        connection.close()
+
     # Writing
 
     def send_attempt(self, attempt: Attempt) -> None:
         """Sends the set-up on the connection with the fewest in flight."""
-        connection = min(self.connections, key=lambda one: len(one.in_flight))
+        connection = min(self.connections[: self.budget.per_link], key=lambda one: len(one.in_flight))
         left_ms = max((attempt.deadline - now_us()) // 1000, 1)
         attrs = {"class": attempt.klass, "key": attempt.key, "left": str(left_ms)}
         self.releases.forget(attempt.call)  # of an earlier attempt; it would cut this one
@@ -275,6 +314,7 @@
             outcome = causes.outcome_before_answer(line.code)
             ended = AttemptFailed(self.exchange, line.sid, attempt.number, outcome, line.cause, line.report)
             self.inbox.post(ended)
+            self.close_unneeded()
             return
         outcome = causes.outcome_after_answer(line.code)
         self.liveness.call_released(line.sid, connection.number)
@@ -331,13 +371,23 @@
         """Begins to open one more connection, unless one is being opened or there are enough."""
         if self.closed or self.on_removal_done is not None or self.connect_task is not None:
             return
-        if len(self.connections) + len(self.retired) >= MAX_CONNECTIONS:
+        if not self.budget.may_open(self, needed=self.needs_connection):
+            if not self.connections:
+                self.fail_queued_attempts()
+                self.schedule_reconnect()
             return
         if self.reconnect_timer is not None:
             self.reconnect_timer.cancel()
             self.reconnect_timer = None
         self.connect_task = asyncio.get_running_loop().create_task(self.open_connection())
 
+    @property
+    def needs_connection(self) -> bool:
+        """Whether a set-up, a release or a standing call waits for the first connection."""
+        return not self.connections and bool(
+            self.queued_attempts or self.releases or self.liveness.has_calls()
+        )
+
     async def open_connection(self) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -359,15 +409,19 @@
 
     def connect_failed(self, refused: bool) -> None:
         log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
-        for attempt in self.queued_attempts.values():
-            self.post_attempt_failed(attempt, api.Outcome.UNREACHED)
-        self.queued_attempts.clear()
+        self.fail_queued_attempts()
         if refused and not self.connections:  # proves that no switch process is running
             self.liveness.end_all_calls()
             # Posted after the queued set-ups, as these were never sent and must not count as cut.
             self.inbox.post(SwitchDown(self.exchange))
         self.schedule_reconnect()
 
+    def fail_queued_attempts(self) -> None:
+        """Fails the set-ups that wait for a first connection, which can't be opened now."""
+        for attempt in self.queued_attempts.values():
+            self.post_attempt_failed(attempt, api.Outcome.UNREACHED)
+        self.queued_attempts.clear()
+
     def connection_opened(self, connection: SwitchConnection) -> None:
         self.connect_task = None
         if self.closed or self.on_removal_done is not None:
@@ -403,7 +457,7 @@
             self.log_closed(connection, why)
             self.fail_attempts(connection)
             self.reconnect(connection)
-            self.send_releases()
+        self.send_releases()
         if self.on_removal_done is not None and not (self.closed or self.connections or self.retired):
             self.end_calls(self.liveness.end_all_calls(), EndReason.SWITCH_REMOVED)
             self.close_unneeded()
@@ -481,6 +535,7 @@
     def close(self) -> None:
         """Closes all connections and cancels the timers, without ending standing calls towards callers."""
         self.closed = True
+        self.budget.remove(self)
         self.cancel_reconnect()
         self.schedule_liveness_check()
         for connection in (*self.connections, *self.retired):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,10 +12,10 @@
 from rowanmast import interface as api
 from rowanmast.core.ports import Answered, Attempt, AttemptFailed, CallEnded, SwitchDown
 from rowanmast.net import jsonlines
+from rowanmast.net.connection_budget import MAX_CONNECTIONS
 from rowanmast.net.input_queue import now_us
 from rowanmast.net.peers import (
     LOAD_PROBE_ID,
-    MAX_CONNECTIONS,
     MAX_STATUS_LAG_US,
     SILENCE_TIMEOUT_US,
     STATUS_SPREAD_US,
