Give up calls on vanished switches where the settings forbid probes

Cause: without probes a lease with an open connection never expired.

Leases now always expire. Where probes are forbidden, a new connection after 3 s of silence takes their place: none comes up to a machine that vanished. A removed switch is not checked, as another one may have its address.

--- a/rowanmast/liveness/machine.py
+++ b/rowanmast/liveness/machine.py
@@ -6,6 +6,10 @@
 connections that carry calls are probed. When a lease expires, its calls are ended: callers must be notified
 within 8 s of the end of a call whose switch can send no release (PROTOCOL, "The rules on sockets").
 
+Where the settings forbid probes, the link opens a new connection instead. To a machine that has vanished none
+comes up, and a new process would have reset the connections of the former one, so a connect renews the leases
+of the calls whose connections are still open.
+
 Two connections lead to the same process if data that arrives on the older one was sent after the younger one
 was opened, or if one of them brings the end of a call that was set up on the other. All times are
 microseconds.
@@ -45,6 +49,7 @@
     connections: set[int] = field(default_factory=set)
     calls: dict[str, int] = field(default_factory=dict)  # call id -> connection on which it was set up
     call_counts: Counter[int] = field(default_factory=Counter)  # connection -> number of calls set up on it
+    reached_at: int = 0  # when a connect last succeeded while its own connections were open
 
     def add(self, call: str, connection: int) -> None:
         self.calls[call] = connection
@@ -95,23 +100,26 @@
     calls: tuple[str, ...]
 
 
-LivenessAction = SendProbe | ReplaceConnection | LeaseExpired
+@dataclass(frozen=True, slots=True)
+class CheckReachability:
+    """Open a new connection, in place of an unused one if there are as many as allowed."""
+
+
+LivenessAction = SendProbe | ReplaceConnection | LeaseExpired | CheckReachability
 
 
 class SwitchLiveness:
     """The incarnations of one switch. Connections are identified by numbers that are never reused."""
 
     def __init__(self, may_probe: bool) -> None:
-        """Without `may_probe`, silence on an open connection proves nothing.
-
-        The calls of an incarnation are then given up only after all its connections are lost.
-        """
+        """Without `may_probe`, the switch is checked by new connections instead of probes."""
         self.may_probe = may_probe
         self.removed_at: int | None = None  # when the switch was removed; None while it is listed
         self.connections: dict[int, ConnectionState] = {}
         self.incarnations: list[Incarnation] = []  # those with connections or calls
         self.by_call: dict[str, Incarnation] = {}  # the incarnation at which each call stands
         self.next_check_at: int | None = None  # when `check` has to be called next
+        self.reachability_checked_at = 0  # when a new connection was last asked for
 
     # Events
 
@@ -120,6 +128,12 @@
         self.incarnations.append(incarnation)
         self.connections[connection] = ConnectionState(now, now, incarnation)
 
+    def connect_succeeded(self, now: int) -> None:
+        """The switch has accepted, or refused, a further connection: its machine is there."""
+        for incarnation in self.incarnations:
+            if incarnation.connections:
+                incarnation.reached_at = now
+
     def data_received(self, now: int, connection: int) -> None:
         state = self.connections.get(connection)
         if state is None:
@@ -138,6 +152,7 @@
         incarnation.connections.discard(connection)
         if not incarnation.connections:
             incarnation.heard_at = max(incarnation.heard_at, now - LOSS_DETECTION_US)
+            incarnation.reached_at = 0  # by another process
             self.remove_if_empty(incarnation)
 
     def call_answered(self, call: str, connection: int) -> None:
@@ -218,6 +233,9 @@
                 actions.append(LeaseExpired(self.expire_lease(incarnation)))
             elif self.may_probe:
                 actions += self.probe_incarnation(now, incarnation)
+            elif now >= self.reachability_check_at(incarnation):
+                self.reachability_checked_at = now
+                actions.append(CheckReachability())
         self.schedule_check(now, STALL_RECHECK_US if stalled else MIN_CHECK_INTERVAL_US)
         return actions
 
@@ -244,7 +262,9 @@
     def next_event_at(self, incarnation: Incarnation) -> int:
         """When the lease expires, a probe times out or a probe has to be sent, whichever is first."""
         earliest = self.lease_expires_at(incarnation)
-        if not self.may_probe or not incarnation.connections:
+        if not self.may_probe:
+            return min(earliest, self.reachability_check_at(incarnation))
+        if not incarnation.connections:
             return earliest
         states = [self.connections[connection] for connection in self.call_connections_of(incarnation)]
         timeouts = [state.probed_at + PROBE_TIMEOUT_US for state in states if state.probed_at is not None]
@@ -255,14 +275,29 @@
         return min(earliest, *timeouts, *probes)
 
     def lease_expires_at(self, incarnation: Incarnation) -> int:
-        if incarnation.connections and not self.may_probe:
-            return NEVER_US
-        expires_at = incarnation.heard_at + LEASE_US
+        last_sign_at = self.last_sign_at(incarnation)
+        expires_at = last_sign_at + LEASE_US
         if self.removed_at is None:
             return expires_at
-        sooner = max(incarnation.heard_at + REMOVED_LEASE_US, self.removed_at + REMOVED_GRACE_US)
+        if not self.may_probe:  # a removed switch is no longer checked, and may just have nothing to send
+            return max(expires_at, self.removed_at + REMOVED_GRACE_US)
+        sooner = max(last_sign_at + REMOVED_LEASE_US, self.removed_at + REMOVED_GRACE_US)
         return min(expires_at, sooner)
 
+    def last_sign_at(self, incarnation: Incarnation) -> int:
+        """When the incarnation was last known to be alive."""
+        return incarnation.heard_at if self.may_probe else max(incarnation.heard_at, incarnation.reached_at)
+
+    def reachability_check_at(self, incarnation: Incarnation) -> int:
+        """When a new connection is due, where probes are forbidden.
+
+        None is opened to a removed switch, as another one may have taken its address.
+        """
+        if not incarnation.connections or self.removed_at is not None:
+            return NEVER_US
+        due = self.last_sign_at(incarnation) + PROBE_IDLE_US
+        return max(due, self.reachability_checked_at + PROBE_TIMEOUT_US)
+
     def call_connections(self) -> Iterable[int]:
         for incarnation in self.incarnations:
             if incarnation.calls:
@@ -338,6 +373,7 @@
         target.calls |= source.calls
         target.call_counts += source.call_counts
         target.heard_at = max(target.heard_at, source.heard_at)
+        target.reached_at = max(target.reached_at, source.reached_at)
         source.connections.clear()
         source.clear()
         self.remove_if_empty(source)
--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -21,6 +21,7 @@
     SwitchDown,
 )
 from rowanmast.liveness.machine import (
+    CheckReachability,
     LeaseExpired,
     LivenessAction,
     ReplaceConnection,
@@ -158,6 +159,8 @@
                     self.send_liveness_probe(action.connection)
                 case ReplaceConnection():
                     self.replace_connection(action.connection)
+                case CheckReachability():
+                    self.check_reachability()
                 case LeaseExpired():
                     self.end_calls(action.calls, EndReason.SWITCH_LOST)
         self.schedule_liveness_check()
@@ -181,6 +184,12 @@
         if connection is not None:
             self.drop_unresponsive(connection)
 
+    def check_reachability(self) -> None:
+        """Opens a further connection, where probes are forbidden; an unused one gives way to it."""
+        if self.usable_count >= self.budget.per_link:
+            self.close_idle_connection()
+        self.start_connecting()
+
     def end_calls(self, calls: tuple[str, ...], why: EndReason) -> None:
         """Ends these calls towards their callers; releases them at the switch once it is reachable."""
         if not calls:
@@ -369,13 +378,19 @@
 
     def connect(self) -> None:
         """Begins to open one more connection, unless one is being opened or there are enough."""
-        if self.closed or self.on_removal_done is not None or self.connect_task is not None:
+        if self.connect_task is not None or self.closed or self.on_removal_done is not None:
             return
         if not self.budget.may_open(self, needed=self.needs_connection):
             if not self.connections:
                 self.fail_queued_attempts()
                 self.schedule_reconnect()
             return
+        self.start_connecting()
+
+    def start_connecting(self) -> None:
+        """Begins to open a connection, unless one is being opened."""
+        if self.closed or self.on_removal_done is not None or self.connect_task is not None:
+            return
         if self.reconnect_timer is not None:
             self.reconnect_timer.cancel()
             self.reconnect_timer = None
@@ -410,7 +425,9 @@
     def connect_failed(self, refused: bool) -> None:
         log.info("connect_failed", extra={"exchange": self.exchange, "refused": refused})
         self.fail_queued_attempts()
-        if refused and not self.connections:  # proves that no switch process is running
+        if refused and self.connections:  # it admits no more connections, but is there
+            self.liveness.connect_succeeded(now_us())
+        elif refused:  # proves that no switch process is running
             self.liveness.end_all_calls()
             # Posted after the queued set-ups, as these were never sent and must not count as cut.
             self.inbox.post(SwitchDown(self.exchange))
@@ -427,11 +444,15 @@
         if self.closed or self.on_removal_done is not None:
             connection.close()
             return
-        self.connections.append(connection)
+        if len(self.connections) < self.budget.per_link:
+            self.connections.append(connection)
+        else:  # opened by a reachability check: replaces the last one, which becomes surplus
+            self.connections.insert(0, connection)
         self.last_connection_number += 1
         connection.number = self.last_connection_number
         log.info("connection_opened", extra={"exchange": self.exchange, "connection": connection.number})
         self.liveness.connection_opened(connection.opened_at, connection.number)
+        self.liveness.connect_succeeded(now_us())
         self.send_releases()
         waiting, self.queued_attempts = self.queued_attempts, {}
         for attempt in waiting.values():
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -134,6 +134,25 @@
     run(MAX_CONNECTIONS, test)
 
 
+def test_a_reachability_check_opens_a_connection_and_replaces_an_unused_one() -> None:
+    async def test(fleet: LinkFleet) -> None:
+        fleet.add_links(1)
+        await fleet.settled(MAX_CONNECTIONS)
+        (link,) = fleet.links
+        link.check_reachability()
+        await wait_until(lambda: len(fleet.opened) == MAX_CONNECTIONS + 1)
+        await fleet.settled(MAX_CONNECTIONS)
+        for number in range(MAX_CONNECTIONS):
+            fleet.set_up(link, f"c{number}")
+        await wait_until(lambda: len(link.liveness.by_call) == MAX_CONNECTIONS)
+        link.check_reachability()  # every connection carries a call: none is closed
+        await fleet.settled(MAX_CONNECTIONS + 1)
+        link.release("c3", 16)  # now one of the five is unused
+        await fleet.settled(MAX_CONNECTIONS)
+
+    run(None, test)
+
+
 def test_a_link_without_a_connection_takes_an_idle_one_of_another_link() -> None:
     async def test(fleet: LinkFleet) -> None:
         fleet.add_links(3)
