Drop set-ups of connections that were reset; no id runs twice

Causes: what was received before a reset is read before the reset is reported, and was passed on; and the ledger forgot the id, with its release guard time, at the call's end.

The front now looks at the connection's TCP state before it takes a set-up. The ledger keeps the ids of calls that were sent to a switch for 10 s and fails a set-up that repeats one which may have run; repeats in transit wait for the release.

--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -46,8 +46,10 @@
 # Stale timers are purged when the heap exceeds twice the size that the last purge left, plus this.
 STALE_TIMER_SLACK = 64
 # How long the id of an ended call is kept. If the switch's release crosses the router's own or is repeated
-# within this time, it is not taken for the release of a call that an earlier run left standing.
+# within this time, it is not taken for the release of a call that an earlier run left standing. A set-up that
+# comes with the same id is not sent on.
 ENDED_CALL_RETENTION_US = 10_000_000
+MAX_ENDED_CALLS = 50_000  # whose ids are kept
 # If the output of a turn is sent later than this after the turn's start, the waits that start in the turn are
 # extended by the delay. Shorter delays are covered by the release margin of the decision module (50 ms).
 MAX_SEND_LAG_US = 25_000
@@ -55,6 +57,8 @@
 # Outcomes after which the switch may still be working on the call: the release guard time has to pass before
 # the next attempt.
 UNCONFIRMED_OUTCOMES = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CALLED_OFF)
+# Outcomes that prove that the attempt never ran at the switch.
+NEVER_RAN_OUTCOMES = (api.Outcome.FULL, api.Outcome.UNREACHED, api.Outcome.NOT_SENT)
 
 Item = TypeVar("Item")
 Result = TypeVar("Result")
@@ -71,11 +75,21 @@
     current_attempt: Attempt | None = None
     attempt_count: int = 0
     next_attempt_at: int = 0  # end of the release guard time; no attempt may start before
+    may_have_run: bool = False  # at a switch, in any attempt
     has_final_answer: bool = False  # set up, refused or failed
     standing_attempt: Attempt | None = None  # the one that set up the call, while the call stands
     standing_since: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EndedCall:
+    """What is kept of a call that was sent to a switch."""
+
+    ended_at: int
+    may_have_run: bool
+    next_attempt_at: int  # end of the release guard time of its last attempt
+
+
 # What has expired: the time limit of an attempt, a timer of the decision module or the deadline of a call.
 Timer = Attempt | api.TimerExpired | CallRecord
 
@@ -106,7 +120,7 @@
         self.events: list[api.Event] = []  # not yet passed to the decision module
         self.expired_calls: list[CallRecord] = []  # calls whose deadline passed in this turn
         self.ended_calls: list[str] = []  # calls whose records are deleted at the end of the turn
-        self.recently_ended: OrderedDict[str, int] = OrderedDict()  # call id -> time of its end
+        self.recently_ended: OrderedDict[str, EndedCall] = OrderedDict()  # by call id, the oldest first
         self.now = 0
         self.awaiting_release: list[CallRecord] = []  # calls whose release guard time starts in this turn
         self.totals = Totals()
@@ -128,16 +142,28 @@
         self.expired_calls.clear()
         self.run_decisions()
         for call in self.ended_calls:
-            self.records.pop(call, None)
-            self.recently_ended[call] = now
+            self.delete_record(call)
         self.ended_calls.clear()
-        while (
-            self.recently_ended and now - next(iter(self.recently_ended.values())) > ENDED_CALL_RETENTION_US
-        ):
-            self.recently_ended.popitem(last=False)
+        self.forget_ended_calls()
         if len(self.timers) > 2 * self.timers_after_purge + STALE_TIMER_SLACK:
             self.purge_stale_timers()
 
+    def delete_record(self, call: str) -> None:
+        """Deletes the record of an ended call; keeps the id if it was sent to a switch."""
+        record = self.records.pop(call, None)
+        if record is not None and record.attempt_count:
+            ended = EndedCall(self.now, record.may_have_run, record.next_attempt_at)
+            self.recently_ended.pop(call, None)
+            self.recently_ended[call] = ended
+
+    def forget_ended_calls(self) -> None:
+        while self.recently_ended:
+            oldest = next(iter(self.recently_ended.values()))
+            expired = self.now - oldest.ended_at > ENDED_CALL_RETENTION_US
+            if not expired and len(self.recently_ended) <= MAX_ENDED_CALLS:
+                return
+            self.recently_ended.popitem(last=False)
+
     def run_decisions(self) -> None:
         """Passes the pending events to the decision module; executes the actions after each round."""
         while self.events:
@@ -319,8 +345,16 @@
             log.warning("unfit_call", extra={"call": offer.call, "class": offer.klass})
             offer.front.fail(offer.call, Failure.UNFIT)
             return
+        former = self.recently_ended.get(offer.call)
+        # A router passes on further attempts of a call in transit with the same id.
+        if former is not None and former.may_have_run and not offer.route.transit:
+            log.warning("repeated_call", extra={"call": offer.call})
+            offer.front.fail(offer.call, Failure.UNFIT)
+            return
         self.totals.add("offered")
         record = self.records[offer.call] = CallRecord(offer, self.now + offer.remaining_us)
+        if former is not None:
+            record.next_attempt_at, record.may_have_run = former.next_attempt_at, former.may_have_run
         self.schedule(record.deadline, record)
         self.events.append(
             api.Call(
@@ -376,6 +410,7 @@
             self.end_attempt(record, api.Outcome.TIMED_OUT, None, NO_REPORT)
             return
         record.current_attempt, record.standing_attempt, record.standing_since = None, attempt, self.now
+        record.may_have_run = True
         delay_ns = (self.now - attempt.sent_at) * NS_PER_US
         self.events.append(api.CallAnswered(item.call, attempt.number, attempt.exchange, delay_ns))
         self.give_final_answer(record, item.text)
@@ -451,6 +486,8 @@
     ) -> None:
         attempt, record.current_attempt = record.current_attempt, None
         assert attempt is not None
+        if outcome not in NEVER_RAN_OUTCOMES:
+            record.may_have_run = True
         if outcome in UNCONFIRMED_OUTCOMES:
             record.next_attempt_at = self.now + self.settings.release_guard_ns // NS_PER_US
             self.awaiting_release.append(record)
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from socket import IPPROTO_TCP, TCP_INFO
 
 from rowanmast.causes import NORMAL_CLEARING
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
@@ -29,6 +30,8 @@
 LIMIT_LOG_INTERVAL_US = 1_000_000  # minimum time between two log lines about the connection limit
 FAILURE_STATUS = {Failure.GIVEN_UP: 500, Failure.CANCELLED: 487, Failure.FAULT: 500, Failure.UNFIT: 400}
 
+TCP_STATE_CLOSE = 7  # first byte of TCP_INFO, from linux/tcp_states.h
+
 log = logging.getLogger(__name__)
 
 
@@ -255,6 +258,9 @@
         self.confirmed[connection] = None
 
     def handle_invite(self, connection: CallerConnection, message: sip.Message) -> None:
+        if connection.is_reset:  # nobody waits for the answer, and the call may come again with the same id
+            self.close_connection(connection)
+            return
         call = message.call_id
         if call in self.pending_invites:  # the senders could not tell the responses apart
             log.warning("duplicate_invite", extra={"call": call})
@@ -359,6 +365,12 @@
         self.half_closed = True
         return not self.is_idle()
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether the caller has reset the connection. What it sent before may still be unread."""
+        socket = None if self.transport is None else self.transport.get_extra_info("socket")
+        return socket is not None and socket.getsockopt(IPPROTO_TCP, TCP_INFO, 1)[0] == TCP_STATE_CLOSE
+
     def is_idle(self) -> bool:
         return not self.set_ups and not self.standing
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -172,6 +172,7 @@
                 "standing": len(checker.standing),
                 "arrivals": dict(checker.arrivals),
                 "retries": checker.retries,
+                "attempts": dict(checker.attempts),
                 "connections": {name: len(one.connections) for name, one in switches.items()},
             }
         elif command == "reset":
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -22,6 +22,7 @@
 
 from rowanmast import interface as api
 from rowanmast.call_agent import CallAgent
+from rowanmast.core import ledger as ledger_module
 from rowanmast.core.ledger import ENDED_CALL_RETENTION_US, STALE_TIMER_SLACK, Ledger, with_release_margin
 from rowanmast.core.ports import (
     Answered,
@@ -304,6 +305,62 @@
     assert model.front.messages == [("answer", "c1", "text")] and list(model.ledger.records) == ["c1"]
 
 
+def offer_again(model: Model, transit: bool = False) -> None:
+    """The call c1 is offered anew, by a caller that knows nothing of its first offer."""
+    model.checker.final_answers.clear()
+    model.checker.call_offered("c1", 3.0)
+    model.front.messages.clear()
+    model.run_turn(offer(model.front, "c1", transit=transit))
+
+
+def test_an_id_that_may_have_run_at_a_switch_is_not_sent_again() -> None:
+    # An id ran twice when it came again after its client had left.
+    model = Model()
+    model.step("offer", 0, 400)
+    model.run_turn(Cancelled("c1"))
+    offer_again(model)
+    assert model.front.messages == [("fail", "c1", Failure.UNFIT)] and not model.ledger.records
+    model.now += ENDED_CALL_RETENTION_US + 1
+    model.run_turn()
+    offer_again(model)
+    assert model.front.messages == [] and "c1" in model.ledger.records
+
+
+def test_an_id_that_never_ran_may_come_again() -> None:
+    model = Model()
+    model.step("offer", 0, 400)
+    attempt = model.links["x1"].attempts["c1"]
+    model.checker.ended_at_switch("c1", confirmed=True)
+    model.run_turn(AttemptFailed("x1", "c1", attempt.number, api.Outcome.FULL), Cancelled("c1"))
+    model.checker.in_flight.clear()
+    offer_again(model)
+    assert ("fail", "c1", Failure.UNFIT) not in model.front.messages and "c1" in model.ledger.records
+
+
+def test_a_further_attempt_of_a_call_in_transit_waits_for_the_release_of_the_former() -> None:
+    model = Model()
+    model.step("offer", 6, 400)
+    model.run_turn(Cancelled("c1"))
+    model.now += RELEASE_GUARD_US - 1
+    offer_again(model, transit=True)  # the checker holds that nothing is sent
+    assert [message[0] for message in model.front.messages] == ["refuse"]
+    model.now += RELEASE_GUARD_US
+    offer_again(model, transit=True)
+    assert model.front.messages == [] and model.ledger.records["c1"].current_attempt is not None
+
+
+def test_the_ids_kept_of_ended_calls_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ledger_module, "MAX_ENDED_CALLS", 5)
+    model = Model()
+    for number in range(1, 20):
+        model.step("offer", 0, 400)
+        model.run_turn(Cancelled(f"c{number}"))
+    assert list(model.ledger.recently_ended) == [f"c{number}" for number in range(15, 20)]
+    for number in range(100):  # never sent to a switch, so nothing is kept
+        model.run_turn(offer(model.front, f"n{number}", dest=9), Cancelled(f"n{number}"))
+    assert len(model.ledger.recently_ended) == 5
+
+
 def test_state_of_removed_switches_and_ended_calls_is_deleted() -> None:
     # Guards against leaks: every switch ever listed was kept, and every call's timer until its deadline.
     model, sizes = Model(), []
