End change log connections that send what was not asked for

A change log that sent responses at full speed without being asked stopped the router for good: no call was answered, and SIGTERM was not heard within 10 s.

Cause: every response in a read was handled at once, and the loop reads one connection up to 32 times in a row. A response without an end had no limit for its head, and each piece of its body copied those before.

A response that no request has asked for ends the connection, and so does one over 1 MiB with its head. A change log that answers at once without news is asked again after 0.1 s.

--- a/rowanmast/net/changelog.py
+++ b/rowanmast/net/changelog.py
@@ -22,7 +22,8 @@
 LATE_TIMEOUT_S = 10.0  # a late connection on which nothing arrives for this long is closed
 MAX_LATE_CONNECTIONS = 3  # kept open beside the current one
 RETRY_MIN_S, RETRY_MAX_S = 0.1, 0.5
-MAX_RESPONSE_BYTES = 1024 * 1024
+MAX_RESPONSE_BYTES = 1024 * 1024  # with its head
+EARLY_RESPONSE_PAUSE_S = 0.1  # before the next request, if the change log did not hold the last one
 HEALTH_STATES = {
     "ready": api.ExchangeState.UP,
     "draining": api.ExchangeState.DRAINING,
@@ -166,7 +167,10 @@
         self.client = client
         self.lost_or_late: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.parser = httptools.HttpResponseParser(self)
-        self.body = b""
+        self.body = bytearray()
+        self.received = 0  # bytes of the current response
+        self.requested_at = 0.0  # loop time
+        self.is_awaited = False  # a request has been sent and its response has not begun
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -176,7 +180,10 @@
         self.send_request()
 
     def send_request(self) -> None:
-        assert self.transport is not None
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.is_awaited = True
+        self.requested_at = asyncio.get_running_loop().time()
         host, port = self.client.address
         path = f"/changes?since={self.client.seq}&timeout={LONG_POLL_MS}"
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
@@ -206,27 +213,42 @@
 
     def data_received(self, data: bytes) -> None:
         self.restart_timer(LATE_TIMEOUT_S if self.is_late else RESPONSE_TIMEOUT_S)
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
+            if self.received > MAX_RESPONSE_BYTES:
+                raise ChangeLogError("response over 1 MiB")
         except (httptools.HttpParserError, ValueError) as error:
             log.warning("bad_change_log", extra={"why": error})
             self.abort()
 
+    def on_message_begin(self) -> None:
+        """Rejects a response that no request has asked for.
+
+        The next request is sent in a later turn, so what follows a response in the same turn can't answer it.
+        """
+        if not self.is_awaited:
+            raise ChangeLogError("response without a request")
+        self.is_awaited = False
+
     def on_body(self, body: bytes) -> None:
         self.body += body
-        if len(self.body) > MAX_RESPONSE_BYTES:
-            raise ChangeLogError("response body over 1 MiB")
 
     def on_message_complete(self) -> None:
         assert self.transport is not None
-        body, self.body = self.body, b""
+        body, self.body = bytes(self.body), bytearray()
+        self.received = 0
         if self.parser.get_status_code() != 200:
             raise ChangeLogError(f"HTTP status {self.parser.get_status_code()}")
+        seq = self.client.seq
         self.client.handle_body(body)
-        if self.parser.should_keep_alive() and not self.is_late:
-            self.send_request()
-        else:
+        if not self.parser.should_keep_alive() or self.is_late:
             self.transport.close()
+            return
+        loop = asyncio.get_running_loop()
+        held_s = loop.time() - self.requested_at
+        pause_s = EARLY_RESPONSE_PAUSE_S if seq == self.client.seq and held_s < LONG_POLL_MS / 2000 else 0.0
+        loop.call_later(pause_s, self.send_request)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -6,6 +6,7 @@
 import json
 import signal
 from collections.abc import Iterator
+from contextlib import suppress
 from random import Random
 from types import FrameType
 
@@ -157,3 +158,59 @@
     for odd in ({**entry, "health": "odd"}, {**entry, "dial": "odd"}, {"host": "s1"}):
         with pytest.raises(ChangeLogError):
             reader.read({"results": [{"seq": 1, "fleet": {"hosts": [odd]}}]})
+
+
+class EagerServer:
+    """Answers each request at once with `answer`, and counts the requests and connections."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.answer = answer
+        self.requests = self.connections = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                writer.write(self.answer)
+                await writer.drain()
+
+    async def follow(self, seconds: float) -> list[int]:
+        """Lets a client poll this server for a while; returns the numbers of the changes it applied."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        received: list[int] = []
+        address = server.sockets[0].getsockname()
+        changes = ChangeLogClient(address, Reader(), 0, lambda change: received.append(change.seq), Random(1))
+        changes.start()
+        await asyncio.sleep(seconds)
+        changes.stop()
+        server.close()
+        return received
+
+
+def response(seq: int) -> bytes:
+    body = json.dumps({"seq": seq, "results": [{"seq": seq}]}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_responses_without_a_request_end_the_connection() -> None:
+    # A change log that sent responses at full speed stopped the router: all were handled in one turn.
+    server = EagerServer(response(1) + response(2) * 1000)
+    assert uvloop.run(server.follow(0.5)) == [1]
+    assert 1 < server.connections < 20
+
+
+def test_a_change_log_that_holds_no_request_is_not_polled_without_a_pause() -> None:
+    server = EagerServer(response(1))
+    assert uvloop.run(server.follow(1.0)) == [1]
+    assert server.connections == 1 and 5 < server.requests <= 2 + 1.0 / changelog.EARLY_RESPONSE_PAUSE_S
+
+
+@pytest.mark.parametrize("piece", [b"x: y\r\n" * 512, b"\r\n" + b"1\r\nx\r\n" * 512])
+def test_an_endless_response_ends_at_its_limit(piece: bytes) -> None:
+    # A response that never ended was kept without a limit, or copied for each of its pieces.
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    server = EagerServer(head + piece + piece[2:] * (2 * changelog.MAX_RESPONSE_BYTES // len(piece)))
+    assert uvloop.run(server.follow(0.7)) == []
+    assert server.connections > 1
