Share the handling of IAX2 datagrams among their senders

One IAX2 client that sent NEWs of new call numbers at full speed took usual callers' median to 30 ms and the worst to 593 ms, and 9 calls were refused.

Cause: the event loop reads 32 datagrams in a row, each NEW became an offer, and one address could hold all 4,000 legs, which are swept 50 times a second.

8 datagrams are handled in a turn, the senders in turns; an address may have 200 unanswered set-ups and 2,000 legs.

--- a/rowanmast/iax2/endpoint.py
+++ b/rowanmast/iax2/endpoint.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol, cast
 
 from rowanmast.iax2 import frames
+from rowanmast.iax2.datagram_queue import MAX_PER_TURN, DatagramQueue
 from rowanmast.iax2.frames import Elements, Frame, FrameType, Iax
 from rowanmast.iax2.session import Session
 
 SWEEP_INTERVAL_S = 0.02
 MAX_LEGS = 4000  # incoming calls above this get INVAL; even a rejected call uses memory for a while
+MAX_LEGS_PER_ADDRESS = 2000  # the same, so that no caller takes the calls of all others
 HANDLED_SUBCLASSES = (Iax.NEW, Iax.HANGUP, Iax.REJECT, Iax.ACCEPT, Iax.UNSUPPORT)
 Address = tuple[str, int]
 
@@ -65,6 +68,10 @@
         self.on_new = on_new
         self.legs: dict[int, Leg] = {}  # by local call number
         self.legs_by_remote: dict[tuple[Address, int], Leg] = {}  # incoming, by remote address and number
+        self.leg_counts: Counter[Address] = Counter()  # of `legs_by_remote`
+        self.received = DatagramQueue()
+        self.turn_allowance = 0  # datagrams that may still be handled in this turn
+        self.turn_scheduled = False  # `start_turn` will run in the next one
         self.pending_pokes: dict[int, Callable[[], None]] = {}  # called at the PONG, by local call number
         self.last_call_number = 0
         self.transport: asyncio.DatagramTransport | None = None
@@ -114,10 +121,31 @@
         key = (leg.address, leg.session.remote_number)
         if self.legs_by_remote.get(key) is leg:
             del self.legs_by_remote[key]
+            self.leg_counts[leg.address] -= 1
+            if not self.leg_counts[leg.address]:
+                del self.leg_counts[leg.address]
 
     # Frames
 
     def datagram_received(self, data: bytes, address: Address) -> None:
+        self.received.push(data, address)
+        self.handle_received()
+
+    def handle_received(self) -> None:
+        """Handles as many of the received datagrams as this turn allows; goes on in the next one."""
+        if not self.turn_scheduled:
+            self.turn_scheduled, self.turn_allowance = True, MAX_PER_TURN
+            asyncio.get_running_loop().call_soon(self.start_turn)
+        while self.received and self.turn_allowance:
+            self.turn_allowance -= 1
+            self.handle_datagram(*self.received.pop())
+
+    def start_turn(self) -> None:
+        self.turn_scheduled = False
+        if self.received:
+            self.handle_received()
+
+    def handle_datagram(self, data: bytes, address: Address) -> None:
         try:
             frame = frames.decode(data)
             leg = self.find_or_create_leg(frame, address)
@@ -158,12 +186,13 @@
         if known is not None:  # the remote side has restarted, or has reused the call number
             self.remove_leg(known)
             known.notify_lost()
-        if len(self.legs) >= MAX_LEGS:
+        if len(self.legs) >= MAX_LEGS or self.leg_counts[address] >= MAX_LEGS_PER_ADDRESS:
             return None
         now = self.clock()
         leg = Leg(self, address, Session(self.allocate_number(), now, frame.source))
         leg.session.initial_new = frame
         self.legs_by_remote[address, frame.source] = leg
+        self.leg_counts[address] += 1
         self.add_leg(leg)
         return leg
 
--- a/rowanmast/iax2/front.py
+++ b/rowanmast/iax2/front.py
@@ -4,12 +4,13 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
 from rowanmast import causes
 from rowanmast.core.ports import Cancelled, Failure, Inbox, Offer, Released
-from rowanmast.iax2.endpoint import Leg
+from rowanmast.iax2.endpoint import Address, Leg
 from rowanmast.iax2.frames import (
     PROTOCOL_VERSION,
     Control,
@@ -25,6 +26,7 @@
 from rowanmast.routes import parse_route
 
 MAX_SETUP_MS = 3_600_000  # no caller waits longer, and timers need a bounded value
+MAX_SET_UPS_PER_ADDRESS = 200  # a flood from one caller is refused before it affects other callers
 
 log = logging.getLogger(__name__)
 
@@ -39,10 +41,13 @@
         self.random = random
         self.accepts_calls = accepts_calls
         self.legs: dict[str, Leg] = {}
+        self.unanswered: dict[str, Address] = {}  # the callers' addresses, by call
+        self.unanswered_counts: Counter[Address] = Counter()  # of `unanswered`
 
     # Front
 
     def answer(self, call: str, text: str) -> None:
+        self.remove_unanswered(call)
         leg = self.legs.get(call)
         if leg is None:
             return  # the caller has just hung up; the input that reports it to the ledger is queued
@@ -67,10 +72,22 @@
         self.end_call(call, Iax.HANGUP, cause, "released")
 
     def end_call(self, call: str, subclass: Iax, code: int, text: str) -> None:
-        leg = self.legs.pop(call, None)
+        leg = self.remove_leg(call)
         if leg is not None:
             leg.end(subclass, cause_elements(code, text))
 
+    def remove_leg(self, call: str) -> Leg | None:
+        """Removes an ended call; None if it was removed before."""
+        self.remove_unanswered(call)
+        return self.legs.pop(call, None)
+
+    def remove_unanswered(self, call: str) -> None:
+        address = self.unanswered.pop(call, None)
+        if address is not None:
+            self.unanswered_counts[address] -= 1
+            if not self.unanswered_counts[address]:
+                del self.unanswered_counts[address]
+
     # Calls
 
     def handle_new(self, leg: Leg, frame: Frame) -> IncomingCall:
@@ -80,6 +97,9 @@
                 Iax.REJECT, cause_elements(causes.TEMPORARY_FAILURE, "backup router, come back after 1 s")
             )
             return IncomingCall(self, call)
+        if self.unanswered_counts[leg.address] >= MAX_SET_UPS_PER_ADDRESS:
+            leg.end(Iax.REJECT, cause_elements(causes.CONGESTION, "too many set-ups, come back after 1 s"))
+            return IncomingCall(self, call)
         try:
             offer = self.parse_new(call, frame)
         except ValueError as error:
@@ -87,6 +107,8 @@
             leg.end(Iax.REJECT, cause_elements(causes.MANDATORY_MISSING, f"malformed NEW: {error}"[:200]))
             return IncomingCall(self, call)
         self.legs[call] = leg
+        self.unanswered[call] = leg.address
+        self.unanswered_counts[leg.address] += 1
         self.inbox.post(offer)
         return IncomingCall(self, call)
 
@@ -110,14 +132,14 @@
         self.call = call
 
     def frame_received(self, frame: Frame) -> None:
-        if frame.is_iax(Iax.HANGUP, Iax.REJECT) and self.front.legs.pop(self.call, None) is not None:
+        if frame.is_iax(Iax.HANGUP, Iax.REJECT) and self.front.remove_leg(self.call) is not None:
             cause = frame.integer(Ie.CAUSECODE) or causes.NORMAL_CLEARING
             # Only one of the two takes effect: the first if the call stands, the second otherwise.
             self.front.inbox.post(Released(self.call, cause))
             self.front.inbox.post(Cancelled(self.call))
 
     def leg_lost(self) -> None:
-        if self.front.legs.pop(self.call, None) is not None:
+        if self.front.remove_leg(self.call) is not None:
             log.info("iax_caller_lost", extra={"call": self.call})
             # This also ends a standing call. Released would carry a cause, which is unknown here.
             self.front.inbox.post(Cancelled(self.call))
