Bound what ever new names and a host at full speed take

A host that placed and cancelled calls kept the loop for all of its commands at once. Each unsound message wrote a log line.

20,000 first dialled numbers are kept, 16 commands of a host are handled in a turn, and 20 lines of a warning are written in a second.

--- a/rowanmast/call_agent.py
+++ b/rowanmast/call_agent.py
@@ -88,6 +88,7 @@
 # The longest mean pause before a set-up probes a failing exchange is this times the number of agents of the
 # network, as all of them probe it. An exchange may ask for a longer pause.
 PAUSE_PER_AGENT_NS = 0.15 * SECOND
+MAX_FIRST_DIALLED = 20_000  # numbers whose time of first dialling is kept
 LOSS_WINDOW_NS = 10 * SECOND  # two lost answers within this time mean that more are being lost
 DEVIATION_FACTOR = 2.0  # an answer usually comes within the mean delay plus this many mean deviations
 # The fraction that is used of the load at which a cold exchange is estimated to collapse. The rest is a
@@ -480,7 +481,7 @@
         pending.objective_end_ns = self.now + call_class.objective_ns
         if not call.transit:
             for key, seen in list(islice(self.first_dialled.items(), 2)):  # oldest first
-                if self.now - seen > call_class.deadline_ns:
+                if self.now - seen > call_class.deadline_ns or len(self.first_dialled) >= MAX_FIRST_DIALLED:
                     del self.first_dialled[key]
             first = self.first_dialled.setdefault(call.key, self.now) if call.key else self.now
             pending.objective_end_ns = first + call_class.objective_ns
--- a/rowanmast/embed/router.py
+++ b/rowanmast/embed/router.py
@@ -56,6 +56,7 @@
 UNCOLLECTED_CHECK_INTERVAL_S = 0.1
 DEFAULT_DRAIN_S = 10.0  # how long close() waits for existing calls to end
 READY_POLL_INTERVAL_S = 0.01
+MAX_COMMANDS_PER_TURN = 16  # of the host; switches and IAX2 callers have their turn before the next ones
 EXIT_DRAIN_S = 0.0  # at interpreter exit all calls are ended at once
 JOIN_TIMEOUT_S = 5.0  # after the drain, for the last bytes to be sent and the thread to end
 
@@ -180,11 +181,15 @@
                 router.loop.call_soon(self.process_commands)
 
     def process_commands(self) -> None:
-        """Passes the host's queued commands to the router."""
+        """Passes the host's queued commands to the router, a few in each iteration of its loop."""
         router = self.router
         with self.lock:
             self.processing_scheduled = False  # first: a finalizer may queue a command before the next line
-            commands, self.commands = self.commands, []
+            commands = self.commands[:MAX_COMMANDS_PER_TURN]
+            del self.commands[:MAX_COMMANDS_PER_TURN]
+            if self.commands and router is not None and self.loop is not None:
+                self.processing_scheduled = True
+                router.loop.call_soon(self.process_commands)
         if router is None:
             return
         for call, cause in commands:
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import chain
 from socket import IPPROTO_TCP, TCP_INFO
 
 from rowanmast.causes import NORMAL_CLEARING
@@ -116,7 +117,7 @@
         no other confirmed one. If no other connection is open at all, the BYE is sent on the same one again.
         """
         if connection is None or connection.half_closed:  # a half-closed one can't acknowledge the BYE
-            others = (*reversed(self.confirmed), *reversed(self.unconfirmed))
+            others = chain(reversed(self.confirmed), reversed(self.unconfirmed))
             connection = next((other for other in others if other is not bye.sent_on), bye.sent_on)
         if connection is not None:
             bye.sent_on = connection
@@ -181,7 +182,7 @@
 
         Of those without one, the oldest unconfirmed connection, or else the least recently confirmed.
         """
-        candidates = (*self.unconfirmed, *self.confirmed)
+        candidates = chain(self.unconfirmed, self.confirmed)
         return next((connection for connection in candidates if not connection.set_ups), None)
 
     def close_connection(self, connection: CallerConnection) -> None:
--- a/rowanmast/net/logs.py
+++ b/rowanmast/net/logs.py
@@ -4,8 +4,10 @@
 
 import logging
 import sys
+from collections import Counter
 
 EMBEDDED_THREAD_PREFIX = "rowanmast:"  # of the name of an embedded router's thread, before the router's
+MAX_WARNINGS_PER_SECOND = 20  # of each event
 STANDARD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -44,8 +46,38 @@
         return record.threadName == self.thread
 
 
+class WarningLimit(logging.Filter):
+    """Passes a limited number of lines of each warning in a second, as others decide how many there are.
+
+    The next line that passes has the number of those left out, as `suppressed`.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second = 0
+        self.passed: Counter[str] = Counter()  # in this second, by event
+        self.suppressed: Counter[str] = Counter()  # since the last line that passed, by event
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if record.levelno != logging.WARNING:
+            return True
+        if int(record.created) != self.second:
+            self.second = int(record.created)
+            self.passed.clear()
+        event = str(record.msg)
+        if self.passed[event] >= MAX_WARNINGS_PER_SECOND:
+            self.suppressed[event] += 1
+            return False
+        self.passed[event] += 1
+        suppressed = self.suppressed.pop(event, 0)
+        if suppressed:
+            record.suppressed = suppressed
+        return True
+
+
 def configure_logging(name: str) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
+    handler.addFilter(WarningLimit())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     logging.getLogger("rowanmast").info("start", extra={"router": name})
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -187,6 +187,8 @@
         elif command == "remove_switch":
             switches[arguments[0]].stop()
             change_log.add(False, switches[arguments[0]].entry("gone"))
+        elif command == "entries":
+            answer = [one.entry() for one in switches.values()]
         elif command == "drain":
             switches[arguments[0]].checker.draining_since[arguments[0]] = time.monotonic()
             change_log.add(False, switches[arguments[0]].entry("draining"))
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -27,7 +27,9 @@
 from typing import Any
 
 from fleet import Fleet
+from router_modes import options_text
 
+from rowanmast.config import IaxConfig
 from rowanmast.lab.ports import free_address
 from rowanmast.net import sip
 
@@ -35,6 +37,7 @@
 EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
 CALL_INTERVAL_S = 0.02  # of the other callers together
 WAIT_S = 3.0
+FLOOD_LEAD_S = 0.5  # from the start of a flooding process until it floods
 FLOOD_BURST = 64  # messages that a flooding client writes at once
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER
 
@@ -150,11 +153,27 @@
             self.latencies.refused += 1
 
 
+@contextlib.contextmanager
+def background(target: Callable[..., object], *arguments: object) -> Iterator[None]:
+    """Runs the function in a process of its own, which is killed at the end of the block."""
+    context = multiprocessing.get_context("spawn")
+    process = context.Process(target=target, args=arguments, daemon=True)
+    process.start()
+    try:
+        yield
+    finally:
+        process.kill()
+        process.join()
+
+
 class RouterUnderLoad:
     """A router process with a fleet of switches; `with` starts and stops it."""
 
     def __init__(self, switches: int = 3, sockets: int = 1024, memory_mb: int = 192) -> None:
         self.address = free_address()
+        self.iax_address: tuple[str, int] | None = None  # set to serve IAX2 too
+        self.change_log: tuple[str, int] | None = None  # set to use another one than the fleet's
+        self.other_entries: list[dict[str, Any]] = []  # of switches beside the fleet's
         self.fleet = Fleet(list(range(1, switches + 1)), hold_s=0.2)
         self.limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
 
@@ -162,18 +181,25 @@
         self.fleet.__enter__()
         self.folder = tempfile.TemporaryDirectory()
         path = Path(self.folder.name) / "config.json"
+        hosts = [*self.fleet.command("entries"), *self.other_entries]
+        known = {"seq": 1, "results": [{"seq": 1, "fleet": {"seq": 1, "whole": True, "hosts": hosts}}]}
         places = {
             "listen": "{}:{}".format(*self.address),
-            "changelog": "{}:{}".format(*self.fleet.changelog),
-            "known": {"seq": 0, "results": []},
+            "changelog": "{}:{}".format(*(self.change_log or self.fleet.changelog)),
+            "known": known,
             "limits": self.limits,
         }
         path.write_text(json.dumps({**EXAMPLE, **places}))
+        environment = {**os.environ, "PROXY_CONFIG": str(path)}
+        if self.iax_address is not None:
+            options = Path(self.folder.name) / "settings.txtpb"
+            options.write_text(options_text(IaxConfig(self.iax_address, {})))
+            environment["ROWANMAST_SETTINGS"] = str(options)
         self.log = (Path(self.folder.name) / "log").open("w+")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "rowanmast"],
             cwd=ROOT,
-            env={**os.environ, "PROXY_CONFIG": str(path)},
+            env=environment,
             stderr=self.log,
         )
         end = time.monotonic() + 15
@@ -224,16 +250,9 @@
 
     def under_flood(self, kind: str, seconds: float, reads_answers: bool) -> Latencies:
         """The latencies of usual callers while one client floods the router."""
-        context = multiprocessing.get_context("spawn")
-        arguments = (self.address, kind, seconds + 0.5, reads_answers)
-        client = context.Process(target=flood, args=arguments, daemon=True)
-        client.start()
-        time.sleep(0.5)  # until it floods
-        try:
+        with background(flood, self.address, kind, seconds + FLOOD_LEAD_S, reads_answers):
+            time.sleep(FLOOD_LEAD_S)
             return asyncio.run(self.call_politely(seconds))
-        finally:
-            client.join(10)
-            client.kill()
 
 
 def main() -> None:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -115,6 +116,22 @@
     assert line.cause is api.Cause.PROCESSOR_FULL
 
 
+def test_a_flood_of_one_warning_is_limited_and_counted() -> None:
+    # A client that sent unsound messages at full speed had a line written for each.
+    limit = logs.WarningLimit()
+
+    def passes(event: str, second: int, level: int = logging.WARNING) -> logging.LogRecord | None:
+        record = logging.LogRecord("part", level, "", 0, event, None, None)
+        record.created = second + 0.5
+        return record if limit.filter(record) else None
+
+    lines = [passes("unreadable", 1) for _ in range(logs.MAX_WARNINGS_PER_SECOND + 7)]
+    assert len([line for line in lines if line]) == logs.MAX_WARNINGS_PER_SECOND
+    assert passes("bad_frame", 1) and passes("call_fault", 1, logging.ERROR)
+    after = passes("unreadable", 2)
+    assert after is not None and vars(after)["suppressed"] == 7
+
+
 def test_log_values_stay_on_one_line() -> None:
     assert logs.quote_value("plain") == "plain"
     assert logs.quote_value('a "b"\nc') == '"a \\"b\\"\\nc"'
