Bound the memory of set-ups without an answer

400 clients whose set-ups had heads of very many short fields took the process to 225 MB, long descriptions to 270 MB; the platform kills it at 192 MB.

Cause: the whole parsed message was kept until the answer, the description to the call's end, and there was no limit over all connections, nor of the kernel's buffers.

Only the echoed header lines are kept. The ledger refuses set-ups beyond an eighth of the memory for calls without an answer, and drops the description with the answer. The kernel's buffers of callers are 32 KB.

--- a/rowanmast/app/components.py
+++ b/rowanmast/app/components.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Mapping, Sequence
 
 from rowanmast import vrrp
@@ -18,6 +19,10 @@
 from rowanmast.net import callers
 from rowanmast.net.input_queue import now_us
 
+# The kernel's buffers of a caller's connection in each direction, which count as the router's memory. The
+# default grows to several MB for a caller that sends faster than it is served, or does not read.
+CALLER_BUFFER_BYTES = 32 * 1024
+
 log = logging.getLogger("rowanmast")
 
 
@@ -53,6 +58,9 @@
         self.server = await asyncio.get_running_loop().create_server(
             lambda: callers.CallerConnection(self.front), *self.listen, backlog=1024
         )
+        for listening in self.server.sockets:  # accepted connections inherit these
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_BUFFER_BYTES)
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_BUFFER_BYTES)
 
     def begin_shutdown(self) -> None:
         self.front.draining = True
--- a/rowanmast/app/router.py
+++ b/rowanmast/app/router.py
@@ -24,6 +24,8 @@
 from rowanmast.net.input_queue import InputQueue
 from rowanmast.net.peers import JsonSwitchLink
 
+BYTES_PER_MB = 1024 * 1024
+PENDING_SHARE_OF_MEMORY = 0.125  # of the router's memory, for calls without a final answer
 RELEASE_MARGIN_US = 50_000  # by which the decision module waits longer for a release than the ledger
 SHUTDOWN_ACCEPT_S = 0.7  # after SIGTERM, new calls are accepted for this long
 # SIGKILL comes no sooner than SHUTDOWN_ACCEPT_S plus the longest deadline of a class, of which at most this
@@ -91,7 +93,13 @@
         agent = CallAgent(with_release_margin(config.settings, RELEASE_MARGIN_US), config.seed)
         cold_share = None if share is None else share.join(config.name, config.settings)
         self.ledger = Ledger(
-            config.settings, config.classes, agent, self.switches.by_exchange, orphan_front, cold_share
+            config.settings,
+            config.classes,
+            agent,
+            self.switches.by_exchange,
+            orphan_front,
+            cold_share,
+            max_pending_bytes=int(config.memory_mb * BYTES_PER_MB * PENDING_SHARE_OF_MEMORY),
         )
         self.input_queue = InputQueue(loop, self.ledger)
         self.change_log = ChangeLogClient(config.changelog, reader, 0, self.apply_change, self.random)
--- a/rowanmast/config.py
+++ b/rowanmast/config.py
@@ -12,6 +12,8 @@
 from rowanmast.net.changelog import Change, ChangeLogError, Reader, parse_address
 from rowanmast.settings import get_section, index_by_name, optional_number, read_settings
 
+DEFAULT_MEMORY_MB = 192.0
+
 
 class ConfigError(Exception):
     """The configuration is not usable; the message says why."""
@@ -26,6 +28,7 @@
     listen: tuple[str, int]
     seed: int
     sockets: int  # limit of open sockets
+    memory_mb: float  # limit of memory; DEFAULT_MEMORY_MB if it is not configured
     changelog: tuple[str, int]
     known: list[Change]  # entries of the change log known at the start
     settings: api.Settings
@@ -60,6 +63,7 @@
             listen=parse_address(config["listen"]),
             seed=int(config["seed"], 16),
             sockets=int(config["limits"]["sockets"]),
+            memory_mb=float(config["limits"].get("memory_mb") or DEFAULT_MEMORY_MB),
             changelog=parse_address(config["changelog"]),
             known=reader.read(config["known"]),
             settings=settings,
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -11,6 +11,7 @@
 
 import heapq
 import logging
+import sys
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
@@ -56,6 +57,9 @@
 # If the output of a turn is sent later than this after the turn's start, the waits that start in the turn are
 # extended by the delay. Shorter delays are covered by the release margin of the decision module (50 ms).
 MAX_SEND_LAG_US = 25_000
+DEFAULT_MAX_PENDING_BYTES = 24 * 1024 * 1024
+PENDING_RECORD_BYTES = 4096  # of one call in all modules, without its text and number
+PENDING_RETRY_AFTER_US = 1_000_000  # sent with calls that are refused because too many are pending
 SHUTDOWN_RETRY_AFTER_US = 1_000_000  # sent with calls that are refused because the router shuts down
 # Outcomes after which the switch may still be working on the call: the release guard time has to pass before
 # the next attempt.
@@ -80,6 +84,7 @@
     next_attempt_at: int = 0  # end of the release guard time; no attempt may start before
     may_have_run: bool = False  # at a switch, in any attempt
     has_final_answer: bool = False  # set up, refused or failed
+    pending_bytes: int = 0  # counted until the final answer
     standing_attempt: Attempt | None = None  # the one that set up the call, while the call stands
     standing_since: int = 0
 
@@ -108,7 +113,9 @@
         links: Links,
         orphan_front: Front | None = None,
         cold_share: ColdShareMember | None = None,
+        max_pending_bytes: int = DEFAULT_MAX_PENDING_BYTES,
     ) -> None:
+        """`max_pending_bytes` limits the memory of all calls without a final answer; see `pending_size`."""
         self.settings = settings
         self.classes = classes
         self.agent = agent
@@ -116,6 +123,8 @@
         self.orphan_front = orphan_front  # notified when a call that an earlier run left standing ends
         self.cold_share = cold_share  # limits set-ups to cold switches where the process has several routers
         self.records: dict[str, CallRecord] = {}  # by call id
+        self.max_pending_bytes = max_pending_bytes
+        self.pending_bytes = 0  # of the calls without a final answer
         self.listed: dict[str, api.ListEntry] = {}  # by exchange
         self.timers: list[tuple[int, int, Timer]] = []  # heap of deadline, serial number and timer
         self.timers_after_purge = 0  # size of the heap after the last purge
@@ -356,7 +365,16 @@
             offer.front.fail(offer.call, Failure.UNFIT)
             return
         self.totals.add("offered")
-        record = self.records[offer.call] = CallRecord(offer, self.now + offer.remaining_us)
+        pending_bytes = pending_size(offer)
+        if self.pending_bytes + pending_bytes > self.max_pending_bytes:
+            log.warning("pending_limit", extra={"call": offer.call, "calls": len(self.records)})
+            self.totals.add("refused")
+            offer.front.refuse(offer.call, PENDING_RETRY_AFTER_US)
+            return
+        self.pending_bytes += pending_bytes
+        record = self.records[offer.call] = CallRecord(
+            offer, self.now + offer.remaining_us, pending_bytes=pending_bytes
+        )
         if former is not None:
             record.next_attempt_at, record.may_have_run = former.next_attempt_at, former.may_have_run
         self.schedule(record.deadline, record)
@@ -413,7 +431,9 @@
             self.link(item.exchange).release(item.call, NORMAL_CLEARING)
             self.end_attempt(record, api.Outcome.TIMED_OUT, None, NO_REPORT)
             return
-        record.current_attempt, record.standing_attempt, record.standing_since = None, attempt, self.now
+        record.current_attempt, record.standing_since = None, self.now
+        record.standing_attempt = replace(attempt, text="")  # a standing call needs its text no more
+        record.offer = replace(record.offer, text="")
         record.may_have_run = True
         delay_ns = (self.now - attempt.sent_at) * NS_PER_US
         self.events.append(api.CallAnswered(item.call, attempt.number, attempt.exchange, delay_ns))
@@ -534,6 +554,7 @@
         if record.has_final_answer:
             return
         record.has_final_answer = True
+        self.pending_bytes -= record.pending_bytes
         call, front = record.offer.call, record.offer.front
         match answer:
             case str():
@@ -679,6 +700,11 @@
         return self.cold_share.try_acquire(self.now, self.listed[exchange], len(self.listed) - 1)
 
 
+def pending_size(offer: Offer) -> int:
+    """The memory that a call takes until its final answer, in bytes."""
+    return PENDING_RECORD_BYTES + sys.getsizeof(offer.text) + sys.getsizeof(offer.key) + offer.front_bytes
+
+
 def with_release_margin(settings: api.Settings, margin_us: int) -> api.Settings:
     """The settings for the decision module, with a longer release guard time than the ledger enforces.
 
--- a/rowanmast/core/ports.py
+++ b/rowanmast/core/ports.py
@@ -145,6 +145,7 @@
     text: str
     remaining_us: int  # time left until the final answer is due
     route: Route
+    front_bytes: int = 0  # what the front keeps until the final answer
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanmast/net/callers.py
+++ b/rowanmast/net/callers.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import chain
 from socket import IPPROTO_TCP, TCP_INFO
 
@@ -278,9 +278,10 @@
         if self.refusing or len(connection.set_ups) >= MAX_SET_UPS_PER_CONNECTION:
             connection.write(sip.encode_response(message, 503, (("Retry-After", "1"),)))
             return
-        self.pending_invites[call] = PendingInvite(connection, sip.echoed_headers(message))
+        echoed = sip.echoed_headers(message)
+        self.pending_invites[call] = PendingInvite(connection, echoed)
         connection.set_ups.add(call)
-        self.inbox.post(offer)
+        self.inbox.post(replace(offer, front_bytes=len(echoed)))
 
     def parse_invite(self, message: sip.Message) -> Offer:
         route = parse_route(message.get("x-route"), message.get("x-redial") == "1")
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -228,8 +228,10 @@
         (line,) = [line for line in status.splitlines() if line.startswith(which)]
         return int(line.split()[1]) / 1024
 
-    async def call_politely(self, seconds: float, connections: int = 8) -> Latencies:
-        """Places calls of usual callers at a steady rate for this time."""
+    async def call_politely(
+        self, seconds: float, connections: int = 8, places: tuple[int, ...] = (1, 2, 3)
+    ) -> Latencies:
+        """Places calls of usual callers at a steady rate for this time, to these switches in turn."""
         latencies, loop = Latencies(), asyncio.get_running_loop()
         callers = []
         for _ in range(connections):
@@ -241,7 +243,7 @@
                 break
             caller = callers[number % connections]
             if caller.answer is None or caller.answer.done():
-                tasks.add(loop.create_task(caller.call(1 + number % 3)))
+                tasks.add(loop.create_task(caller.call(places[number % len(places)])))
             await asyncio.sleep(CALL_INTERVAL_S)
         await asyncio.gather(*tasks)
         for caller in callers:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -26,8 +26,10 @@
 from rowanmast.core.ledger import (
     ENDED_CALL_RETENTION_US,
     MAX_ORPHANS,
+    PENDING_RETRY_AFTER_US,
     STALE_TIMER_SLACK,
     Ledger,
+    pending_size,
     with_release_margin,
 )
 from rowanmast.core.ports import (
@@ -315,6 +317,23 @@
     assert model.front.messages[1:] == [("release", "c1", 41)]
 
 
+def test_calls_beyond_the_memory_for_pending_calls_are_refused_until_others_are_answered() -> None:
+    model = Model()
+    call = replace(offer(model.front, "c1"), text="x" * 10_000, front_bytes=1000)
+    model.ledger.max_pending_bytes = pending_size(call)
+    for name in ("c1", "c2"):
+        model.checker.call_offered(name, 3.0)
+        model.run_turn(replace(call, call=name))
+    assert model.front.messages == [("refuse", "c2", PENDING_RETRY_AFTER_US)]
+    model.step("answer", 0, 0)
+    record = model.ledger.records["c1"]
+    assert record.standing_attempt is not None
+    assert model.ledger.pending_bytes == 0 and record.offer.text == record.standing_attempt.text == ""
+    model.checker.call_offered("c3", 3.0)
+    model.run_turn(replace(call, call="c3"))
+    assert "c3" in model.ledger.records
+
+
 def test_an_unknown_class_or_an_id_in_use_fails_that_call_alone() -> None:
     model = model_with_standing_call()
     other = CheckedFront(AssertingRuleChecker(lambda: 0.0, 0.0))
