Take the same NEW from a restarted IAX2 caller for a new call

An IAX2 caller that restarts while a call of it stands, and sends a NEW with the same number, time stamp and elements, got an ACK and no answer.

Cause: a retransmission was known by its contents alone, however late. It now counts as one for 15 s, or 1 s without the mark of a retransmission.

--- a/rowanmast/iax2/endpoint.py
+++ b/rowanmast/iax2/endpoint.py
@@ -16,6 +16,10 @@
 SWEEP_INTERVAL_S = 0.02
 MAX_LEGS = 4000  # incoming calls above this get INVAL; even a rejected call uses memory for a while
 MAX_LEGS_PER_ADDRESS = 2000  # the same, so that no caller takes the calls of all others
+# How long after a NEW the same one counts as sent again (RFC 5456 allows 10 s between retransmissions), and,
+# where it is not marked as retransmitted, as doubled by the network.
+NEW_RETRANSMISSION_US = 15_000_000
+NEW_DUPLICATE_US = 1_000_000
 HANDLED_SUBCLASSES = (Iax.NEW, Iax.HANGUP, Iax.REJECT, Iax.ACCEPT, Iax.UNSUPPORT)
 Address = tuple[str, int]
 
@@ -180,8 +184,7 @@
         known = self.legs_by_remote.get((address, frame.source))
         if not frame.is_iax(Iax.NEW):
             return known
-        first = known.session.initial_new if known is not None else None
-        if first is not None and (first.timestamp, first.elements) == (frame.timestamp, frame.elements):
+        if known is not None and self.repeats_new(known, frame):
             return known
         if known is not None:  # the remote side has restarted, or has reused the call number
             self.remove_leg(known)
@@ -196,6 +199,17 @@
         self.add_leg(leg)
         return leg
 
+    def repeats_new(self, leg: Leg, frame: Frame) -> bool:
+        """Whether this NEW is the leg's own, sent again by the remote side or doubled by the network.
+
+        A remote side that has restarted may send one that is the same in all its fields, but later.
+        """
+        first = leg.session.initial_new
+        if first is None or (first.timestamp, first.elements) != (frame.timestamp, frame.elements):
+            return False
+        window = NEW_RETRANSMISSION_US if frame.retransmitted else NEW_DUPLICATE_US
+        return self.clock() - leg.session.started_at < window
+
     def handle_frame(self, leg: Leg, frame: Frame) -> None:
         if frame.is_iax(Iax.INVAL):
             self.remove_leg(leg)
