Send no set-ups on connections to the former process of a switch

A switch that had vanished with its connections open, was removed and listed again got set-ups on the connections to the process that had gone.

Cause: the link was used as it was when its switch was listed again. Now a connection on which nothing has come since the removal gets no more set-ups. The new test in tests/test_peers.py failed before.

--- a/rowanmast/net/peers.py
+++ b/rowanmast/net/peers.py
@@ -543,9 +543,17 @@
             self.close_unneeded()
 
     def restore(self) -> None:
-        """The switch is listed again before its link was closed."""
+        """The switch is listed again before its link was closed.
+
+        A new process may listen at its address: a connection on which nothing has come since the removal may
+        lead to the former one, and gets no more set-ups.
+        """
         self.on_removal_done = None
+        removed_at = self.liveness.removed_at or 0
         self.liveness.switch_restored()
+        for connection in list(self.connections):
+            if connection.heard_at <= removed_at:
+                self.drop_unresponsive(connection)
         self.connect()
 
     def abandon(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -331,6 +331,25 @@
     asyncio.run(test())
 
 
+def test_a_switch_listed_again_gets_no_set_up_on_a_connection_to_its_former_process() -> None:
+    # The former process had vanished with its connections open; set-ups for the new one were sent there.
+    for heard_since in (False, True):
+        model = connected_model()
+        model.step("set_up", 0)
+        model.step("answer", 0)
+        (former,) = model.transports
+        link = model.link
+        link.remove(lambda: None)
+        if heard_since:
+            model.deliver(jsonlines.encode("probed", "0", {}, code=0))
+            former.protocol.heard_at += 1
+        link.restore()
+        former.take()
+        link.set_up(Attempt("new", 0, "x1", "plain", "77", "text", now_us(), 10**15))
+        assert (b'"open"' in former.written) == heard_since
+        assert ("new" in link.queued_attempts) == (not heard_since)
+
+
 def test_a_closed_link_does_not_reconnect() -> None:
     model = connected_model()
     model.link.connect_wanted = False
