Remove a listed switch whose address another one takes

Set-ups for a switch that had died went to another one that was started at its address and listed before the first was said to be gone; it answered them.

Cause: nothing compared the addresses of listed switches. A change that lists another switch at the address of a listed one now removes that one.

--- a/rowanmast/app/router.py
+++ b/rowanmast/app/router.py
@@ -137,6 +137,7 @@
 
     def apply_change(self, change: Change) -> None:
         """Updates the links and the ledger with a change from the change log."""
+        change = self.switches.with_displaced_removed(change)
         self.switches.update(change)
         log.info("list", extra={"seq": change.seq, "hosts": len(change.exchange_list.entries)})
         self.input_queue.post(change.exchange_list)
--- a/rowanmast/app/switches.py
+++ b/rowanmast/app/switches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Protocol
 
@@ -45,8 +46,31 @@
         self.make_link = make_link
         self.by_exchange: dict[str, SwitchLink] = {}  # all links, for the ledger
         self.listed: dict[str, ManagedLink] = {}
+        self.entries: dict[str, api.ListEntry] = {}  # of the listed switches
         self.removed: dict[str, ManagedLink] = {}
 
+    def with_displaced_removed(self, change: Change) -> Change:
+        """The change, which also removes each listed switch whose address another one takes in it.
+
+        "A new peer may take the address of a peer that has gone" (PROTOCOL, "The change log"), and the change
+        log may tell of the new one first.
+        """
+        mentioned = {entry.exchange for entry in change.exchange_list.entries}
+        taken = {
+            change.addresses[entry.exchange]
+            for entry in change.exchange_list.entries
+            if entry.exchange in change.addresses and entry.state is not api.ExchangeState.GONE
+        }
+        displaced = [
+            replace(self.entries[exchange], state=api.ExchangeState.GONE)
+            for exchange, link in self.listed.items()
+            if link.address in taken and exchange not in mentioned
+        ]
+        if not displaced or change.exchange_list.kind is api.ListKind.FULL:
+            return change
+        entries = (*change.exchange_list.entries, *displaced)
+        return replace(change, exchange_list=replace(change.exchange_list, entries=entries))
+
     def update(self, change: Change) -> None:
         """Adds and removes links according to a change from the change log."""
         if change.exchange_list.kind is api.ListKind.FULL:
@@ -58,6 +82,7 @@
                 self.remove(entry.exchange)
             elif entry.number != self.own_exchange and address is not None:
                 self.add(entry.exchange, address)
+                self.entries[entry.exchange] = entry
 
     def add(self, exchange: str, address: Address) -> None:
         """Makes the link to a listed switch; an existing one is kept unless its address has changed."""
@@ -76,6 +101,7 @@
     def remove(self, exchange: str) -> None:
         """Keeps the link to a switch that is no longer listed until its standing calls have ended."""
         link = self.listed.pop(exchange, None)
+        self.entries.pop(exchange, None)
         if link is not None:
             self.removed[exchange] = link
             link.remove(partial(self.drop_removed, exchange, link))
@@ -95,5 +121,6 @@
         for link in (*self.listed.values(), *self.removed.values()):
             link.close()
         self.listed.clear()
+        self.entries.clear()
         self.removed.clear()
         self.by_exchange.clear()
