Move the host bridge and what is kept of ended calls into modules of their own

Mechanical, but for the ids of released orphans, which are now forgotten in every turn like the others.

--- a/rowanmast/app/daemon.py
+++ b/rowanmast/app/daemon.py
@@ -27,14 +27,8 @@
 if TYPE_CHECKING:
     from rowanmast.options.reader import Options
 
-RESTART_ONLY_FIELDS = (
-    "name",
-    "listen",
-    "sockets",
-    "memory_mb",
-    "settings",
-    "connect_s",
-)  # changes need a restart
+# Changes of these need a restart.
+RESTART_ONLY_FIELDS = ("name", "listen", "sockets", "memory_mb", "settings", "connect_s")
 
 # Neither callers' connections nor links: standard streams, event loop, listening sockets, change log, VRRP.
 RESERVED_DESCRIPTORS = 24
--- a/rowanmast/core/ledger.py
+++ b/rowanmast/core/ledger.py
@@ -12,7 +12,6 @@
 import heapq
 import logging
 import sys
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -21,6 +20,7 @@
 from rowanmast.call_agent import CallAgent
 from rowanmast.causes import NORMAL_CLEARING, TEMPORARY_FAILURE
 from rowanmast.core.coldshare import ColdShareMember
+from rowanmast.core.ended_calls import EndedCall, EndedCalls
 from rowanmast.core.ports import (
     NO_REPORT,
     Answered,
@@ -46,14 +46,6 @@
 NULL_LINK = NullLink()
 # Stale timers are purged when the heap exceeds twice the size that the last purge left, plus this.
 STALE_TIMER_SLACK = 64
-# How long the id of an ended call is kept. If the switch's release crosses the router's own or is repeated
-# within this time, it is not taken for the release of a call that an earlier run left standing. A set-up that
-# comes with the same id is not sent on.
-ENDED_CALL_RETENTION_US = 10_000_000
-MAX_ENDED_CALLS = 50_000  # whose ids are kept
-# Calls of an earlier run that are released within ENDED_CALL_RETENTION_US. Their ids come from switches, so
-# without a limit one switch could keep the router busy with releases of calls that never were.
-MAX_ORPHANS = 2000
 # If the output of a turn is sent later than this after the turn's start, the waits that start in the turn are
 # extended by the delay. Shorter delays are covered by the release margin of the decision module (50 ms).
 MAX_SEND_LAG_US = 25_000
@@ -89,15 +81,6 @@
     standing_since: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EndedCall:
-    """What is kept of a call that was sent to a switch."""
-
-    ended_at: int
-    may_have_run: bool
-    next_attempt_at: int  # end of the release guard time of its last attempt
-
-
 # What has expired: the time limit of an attempt, a timer of the decision module or the deadline of a call.
 Timer = Attempt | api.TimerExpired | CallRecord
 
@@ -132,8 +115,7 @@
         self.events: list[api.Event] = []  # not yet passed to the decision module
         self.expired_calls: list[CallRecord] = []  # calls whose deadline passed in this turn
         self.ended_calls: list[str] = []  # calls whose records are deleted at the end of the turn
-        self.recently_ended: OrderedDict[str, EndedCall] = OrderedDict()  # by call id, the oldest first
-        self.orphans: OrderedDict[str, int] = OrderedDict()  # time of release by call id, the oldest first
+        self.recently_ended = EndedCalls()
         self.now = 0
         self.awaiting_release: list[CallRecord] = []  # calls whose release guard time starts in this turn
         self.totals = Totals()
@@ -157,7 +139,7 @@
         for call in self.ended_calls:
             self.delete_record(call)
         self.ended_calls.clear()
-        self.forget_ended_calls()
+        self.recently_ended.forget_expired(now)
         if len(self.timers) > 2 * self.timers_after_purge + STALE_TIMER_SLACK:
             self.purge_stale_timers()
 
@@ -165,17 +147,7 @@
         """Deletes the record of an ended call; keeps the id if it was sent to a switch."""
         record = self.records.pop(call, None)
         if record is not None and record.attempt_count:
-            ended = EndedCall(self.now, record.may_have_run, record.next_attempt_at)
-            self.recently_ended.pop(call, None)
-            self.recently_ended[call] = ended
-
-    def forget_ended_calls(self) -> None:
-        while self.recently_ended:
-            oldest = next(iter(self.recently_ended.values()))
-            expired = self.now - oldest.ended_at > ENDED_CALL_RETENTION_US
-            if not expired and len(self.recently_ended) <= MAX_ENDED_CALLS:
-                return
-            self.recently_ended.popitem(last=False)
+            self.recently_ended.add(call, EndedCall(self.now, record.may_have_run, record.next_attempt_at))
 
     def run_decisions(self) -> None:
         """Passes the pending events to the decision module; executes the actions after each round."""
@@ -458,16 +430,13 @@
         """
         if (
             self.orphan_front is None
-            or item.call in self.recently_ended
+            or self.recently_ended.get(item.call) is not None
             or item.why is not EndReason.SWITCH_RELEASED
         ):
             return
-        while self.orphans and self.now - next(iter(self.orphans.values())) > ENDED_CALL_RETENTION_US:
-            self.orphans.popitem(last=False)
-        if item.call in self.orphans or len(self.orphans) >= MAX_ORPHANS:
+        if not self.recently_ended.admit_orphan(self.now, item.call):
             self.totals.add("orphans_ignored")
             return
-        self.orphans[item.call] = self.now
         completed = item.outcome is api.Outcome.DONE
         self.orphan_front.release(item.call, NORMAL_CLEARING if completed else TEMPORARY_FAILURE)
 
--- a/tests/test_host_bridge.py
+++ b/tests/test_host_bridge.py
@@ -10,8 +10,8 @@
 
 from rowanmast.core.ports import Cancelled, Offer
 from rowanmast.embed.admission import Bounds
+from rowanmast.embed.bridge import MAX_COMMANDS_PER_TURN, HostBridge
 from rowanmast.embed.outcomes import CallRequest
-from rowanmast.embed.router import MAX_COMMANDS_PER_TURN, HostBridge
 
 
 class ManualLoop:
